Ask the kernel whether an idle connection has ended before it carries a request

Cause: a request was written into a pooled connection whose end lay in the kernel unread, since the loop was busy; it was told as "may have run" though no server could have seen it. Ruled out: the pool's own check, which knows only ends that the loop has read. Conclusion: only an end that is still on its way can get by.

--- a/libs/wire/berylspindle_wire/http_pool.py
+++ b/libs/wire/berylspindle_wire/http_pool.py
@@ -147,10 +147,14 @@
             if self._idle[-1].last_success < oldest_trusted:
                 break
             connection = self._idle.pop()
-            if connection.is_reusable:
-                self._busy.add(connection)
-                self._open_needed()
-                return connection
+            if not connection.is_reusable:
+                continue
+            if connection.peer_has_ended():
+                connection.close()
+                continue
+            self._busy.add(connection)
+            self._open_needed()
+            return connection
         return await self._wait_for_connection(timeout)
 
     async def _wait_for_connection(self, timeout: float) -> HttpConnection:
