Lose no connection and no unread request when a port or an idle connection closes

Three ways: a connection in the kernel's queue when the port closed; one that asyncio had accepted and not yet handed over; an idle connection closed with a request unread in the kernel. Change: an acceptor of our own that tells the kernel to drop arrivals, empties the queue and waits for what is opening; an idle connection with unread input is kept.

--- a/libs/wire/berylspindle_wire/http_server.py
+++ b/libs/wire/berylspindle_wire/http_server.py
@@ -19,6 +19,7 @@
 from types import TracebackType
 from typing import Final
 
+from berylspindle_wire.acceptor import Acceptor, listen
 from berylspindle_wire.http import Handler, HttpLimits
 from berylspindle_wire.http_session import Admission, HttpSession, SessionRules
 
@@ -49,7 +50,7 @@
         self._stack = AsyncExitStack()
         self._all_gone = asyncio.Event()
         self._all_gone.set()
-        self._listener: asyncio.Server | None = None
+        self._acceptor: Acceptor | None = None
         self._port = 0
         self._closed = False
 
@@ -82,10 +83,8 @@
             return
         self._closed = True
         self.begin_drain()
-        if self._listener is not None:
-            # Connections that the kernel has accepted already would be reset with the listener.
-            await asyncio.sleep(0)
-            self._listener.close()
+        if self._acceptor is not None:
+            await self._acceptor.close()
         if grace > 0 and self._sessions:
             try:
                 await asyncio.wait_for(self._all_gone.wait(), grace)
@@ -108,20 +107,17 @@
         await self.close()
 
     async def _listen(self, host: str, port: int, tls: ssl.SSLContext | None) -> None:
-        loop = asyncio.get_running_loop()
-        handshake = None if tls is None else self._rules.limits.read_timeout
-        self._listener = await loop.create_server(
-            lambda: HttpSession(self._rules, self._enter, self._forget),
+        self._acceptor = listen(
             host,
             port,
-            ssl=tls,
-            ssl_handshake_timeout=handshake,
-            backlog=1024,
-            reuse_address=True,
+            lambda: HttpSession(self._rules, self._enter, self._forget),
+            tls=tls,
+            handshake_timeout=None if tls is None else self._rules.limits.read_timeout,
+            on_fault=self._rules.on_fault,
         )
-        self._port = self._listener.sockets[0].getsockname()[1]
-        self._stack.callback(self._listener.close)
-        sweeper = loop.create_task(self._sweep())
+        self._port = self._acceptor.port
+        self._stack.callback(self._acceptor.abort)
+        sweeper = asyncio.get_running_loop().create_task(self._sweep())
         self._stack.callback(sweeper.cancel)
 
     def _enter(self, session: HttpSession) -> Admission:
--- a/libs/wire/berylspindle_wire/http_session.py
+++ b/libs/wire/berylspindle_wire/http_session.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import enum
+import select
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final, cast
@@ -166,10 +167,21 @@
         elif _older(self._reading_since, now, allowed):
             self._slow = True
             self._wake()
-        elif _older(self._idle_since, now, idle_bound) and not self._buffer:
-            # With bytes in the buffer, a request has come that the task has not yet seen.
+        elif _older(self._idle_since, now, idle_bound) and not self._has_input():
             self._transport.close()
 
+    def _has_input(self) -> bool:
+        """Tell whether a request has come that the task has not yet seen.
+
+        Bytes may also lie in the kernel, where a busy loop has not read them: a close would drop
+        them and reset the connection under a request that its peer has good reason to send.
+        """
+        if self._buffer:
+            return True
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _note_progress(self, now: float) -> None:
         """Restart the time of a response that its peer is still reading, however slowly."""
         unwritten = self._transport.get_write_buffer_size()
--- a/tests/wire/test_http_session.py
+++ b/tests/wire/test_http_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from unittest.mock import Mock
 
 from berylspindle_wire.http import HttpLimits, HttpRequest, HttpResponse
@@ -21,6 +22,9 @@
     session = HttpSession(rules, lambda _: Admission.SERVE, lambda _: None)
     transport = Mock(spec=asyncio.Transport)
     transport.get_write_buffer_size.return_value = 0
+    # A session asks its socket whether the kernel holds unread bytes; this one never does.
+    transport.pair = socket.socketpair()
+    transport.get_extra_info.return_value = transport.pair[0]
     session.connection_made(transport)
     return session, transport
 
