--- a/libs/wire/berylspindle_wire/acceptor.py
+++ b/libs/wire/berylspindle_wire/acceptor.py
@@ -4,15 +4,15 @@
   queue     connections that the kernel has taken for the port and this process has not yet
   opening   connections of this process that are not yet with their protocol, for a handshake mostly
 
-Flow: `listen` binds the port; each time the loop finds it readable, all of its queue is accepted and
-handed to new protocols. `close` closes the port, takes over what its queue still holds and waits
-until nothing is opening.
-
-Guard: asyncio's own server forgets connections that it has accepted and not yet handed over, and the
-kernel resets those that wait in the queue of a port that is closed. In a planned shutdown either shows
-to a peer as a request that was cut. So the kernel is first told to drop whatever still arrives at the
-port, then the queue is emptied, then the port closed: a peer that connects meanwhile tries again after
-a second and is refused, which says that nothing was taken.
+Flow: `listen` binds the port; each time the loop finds it readable, all of its queue is accepted
+and handed to new protocols. `close` closes the port, takes over what its queue still holds and
+waits until nothing is opening.
+
+Guard: asyncio's own server forgets connections that it has accepted and not yet handed over, and
+the kernel resets those that wait in the queue of a port that is closed. In a planned shutdown
+either shows to a peer as a request that was cut. So the kernel is first told to drop whatever still
+arrives at the port, then the queue is emptied, then the port closed: a peer that connects meanwhile
+tries again after a second and is refused, which says that nothing was taken.
 """
 
 from __future__ import annotations
@@ -29,7 +29,7 @@
 from typing import Any, Final
 
 BACKLOG: Final = 1024
-"""Connections that the kernel queues for a port; one more makes its peer try again after seconds."""
+"""Connections that the kernel queues for a port; one more has its peer try again after seconds."""
 
 _PAUSE: Final = 1.0
 """Seconds without accepting after the process or the machine ran out of descriptors or memory."""
--- a/libs/wire/berylspindle_wire/http_client.py
+++ b/libs/wire/berylspindle_wire/http_client.py
@@ -101,7 +101,8 @@
 
         Guards against a request written into a connection whose end lies in the kernel unread, as
         after a busy turn of the loop: it would count as "may have run", though no server could see
-        it, and what may not be repeated would be lost. Only an end that is on its way still gets by.
+        it, and what may not be repeated would be lost. Only an end that is on its way still gets
+        by.
         """
         poll = select.poll()
         poll.register(self._transport.get_extra_info("socket").fileno(), _ENDED)
