Name the product's store library for what it is, and leave "platform" to the adapter

Cause: the folder platform/ is to hold the one translation to the users' platform; two rooms of that name would be taken for each other. Change: libs/platform is libs/store, berylspindle_platform is berylspindle_store; its protocol and its stand-ins are unchanged.

--- a/libs/bench/berylspindle_bench/baseline.py
+++ b/libs/bench/berylspindle_bench/baseline.py
@@ -31,8 +31,8 @@
 from berylspindle_model.configuration import Configuration, Server, ServerState, Service
 from berylspindle_model.errors import ErrorKind, Refusal, RunState
 from berylspindle_model.messages import Attempt, AttemptReply, Coverage, SearchAnswer
-from berylspindle_platform.http_store import open_store
-from berylspindle_platform.store import Store, StoreError
+from berylspindle_store.http_store import open_store
+from berylspindle_store.store import Store, StoreError
 from berylspindle_wire.http import HttpRequest, HttpResponse, json_response
 from berylspindle_wire.http_errors import refusal_response
 from berylspindle_wire.http_server import serve
--- a/libs/bench/berylspindle_bench/cluster.py
+++ b/libs/bench/berylspindle_bench/cluster.py
@@ -29,12 +29,12 @@
 from berylspindle_model import caller_protocol, codec
 from berylspindle_model.checked import canonical
 from berylspindle_model.configuration import Configuration, Policy
-from berylspindle_platform.http_store import open_store
-from berylspindle_platform.routes import VmDocument, VmListDocument
 from berylspindle_standins.backend_faults import FaultChange
 from berylspindle_standins.backend_standin import CountsDocument, ServerCounts
 from berylspindle_standins.deployments import DEPLOYMENTS
 from berylspindle_standins.platform_faults import PlatformChange, PlatformCounts
+from berylspindle_store.http_store import open_store
+from berylspindle_store.routes import VmDocument, VmListDocument
 from berylspindle_wire.client import HttpClient
 from berylspindle_wire.http_client import HttpFailure
 
--- a/libs/bench/berylspindle_bench/control_rates.py
+++ b/libs/bench/berylspindle_bench/control_rates.py
@@ -34,9 +34,9 @@
 from berylspindle_model.configuration import Configuration, DataCentre, Server, Service
 from berylspindle_model.messages import AttemptBatch, AttemptReply
 from berylspindle_model.topology import ClusterState, Vm
-from berylspindle_platform.http_store import HttpStore, open_store
-from berylspindle_platform.store import StoredValue
 from berylspindle_standins.platform_standin import PlatformStandin, start_platform
+from berylspindle_store.http_store import HttpStore, open_store
+from berylspindle_store.store import StoredValue
 from berylspindle_wire.datagrams import DatagramPort, open_datagrams
 from berylspindle_wire.owner_link import BatchHandler
 from berylspindle_wire.peer_link import PeerLinks
--- a/libs/bench/berylspindle_bench/history_run.py
+++ b/libs/bench/berylspindle_bench/history_run.py
@@ -34,11 +34,11 @@
 from berylspindle_model import codec
 from berylspindle_model.checked import from_stored
 from berylspindle_model.configuration import Configuration
-from berylspindle_platform.http_store import open_store
 from berylspindle_standins.backend_faults import FaultChange
 from berylspindle_standins.backend_standin import CALLS_PATH
 from berylspindle_standins.call_log import CallsDocument, LoggedStep
 from berylspindle_standins.platform_faults import PlatformChange
+from berylspindle_store.http_store import open_store
 from berylspindle_wire.client import HttpClient
 from berylspindle_wire.http import HttpLimits
 
--- a/libs/controlplane/berylspindle_controlplane/joiner.py
+++ b/libs/controlplane/berylspindle_controlplane/joiner.py
@@ -26,8 +26,8 @@
 from berylspindle_model.control_messages import PullRequest
 from berylspindle_model.delta import Changes, unpack_changes
 from berylspindle_model.topology import Vm
-from berylspindle_platform.store import StoreAway, StoreUnsure
-from berylspindle_platform.vm_list import VmList, VmRole
+from berylspindle_store.store import StoreAway, StoreUnsure
+from berylspindle_store.vm_list import VmList, VmRole
 
 # Joins of other VMs that arrive within this time share one change of the view.
 GATHER: Final = 0.1
--- a/libs/controlplane/berylspindle_controlplane/operations.py
+++ b/libs/controlplane/berylspindle_controlplane/operations.py
@@ -26,7 +26,7 @@
 from berylspindle_model.configuration import Configuration
 from berylspindle_model.errors import ErrorKind, refuse
 from berylspindle_model.intents import Confirmation, Intent, Plan
-from berylspindle_platform.store import (
+from berylspindle_store.store import (
     Store,
     StoreAway,
     StoreConflict,
--- a/libs/controlplane/berylspindle_controlplane/plane.py
+++ b/libs/controlplane/berylspindle_controlplane/plane.py
@@ -40,8 +40,8 @@
 from berylspindle_model.intents import Confirmation, Intent, Plan
 from berylspindle_model.operator_protocol import VmReport
 from berylspindle_model.topology import ClusterState, View, Vm
-from berylspindle_platform.store import Store, StoreAway, StoreUnsure
-from berylspindle_platform.vm_list import VmList
+from berylspindle_store.store import Store, StoreAway, StoreUnsure
+from berylspindle_store.vm_list import VmList
 
 OnState = Callable[[ClusterState], None]
 OnEvent = Callable[[str, dict[str, str | int]], None]
--- a/libs/controlplane/berylspindle_controlplane/store_watcher.py
+++ b/libs/controlplane/berylspindle_controlplane/store_watcher.py
@@ -26,7 +26,7 @@
 from berylspindle_model.configuration import Configuration
 from berylspindle_model.delta import Changes
 from berylspindle_model.topology import View
-from berylspindle_platform.store import Store, StoreAway, StoredValue, StoreUnsure
+from berylspindle_store.store import Store, StoreAway, StoredValue, StoreUnsure
 
 # Two, so that the death of one delays nothing; a third would cost a third more waiting calls.
 WATCHERS: Final = 2
--- a/libs/controlplane/berylspindle_controlplane/view_keeper.py
+++ b/libs/controlplane/berylspindle_controlplane/view_keeper.py
@@ -26,7 +26,7 @@
 from berylspindle_decisions.views import empty_view, with_joined, without
 from berylspindle_model import codec
 from berylspindle_model.topology import View, Vm
-from berylspindle_platform.store import (
+from berylspindle_store.store import (
     Store,
     StoreAway,
     StoreConflict,
--- a/libs/daemon/berylspindle_daemon/counted_store.py
+++ b/libs/daemon/berylspindle_daemon/counted_store.py
@@ -14,7 +14,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, TypeVar
 
-from berylspindle_platform.store import (
+from berylspindle_store.store import (
     Lease,
     ListResult,
     Store,
--- a/libs/daemon/berylspindle_daemon/daemon.py
+++ b/libs/daemon/berylspindle_daemon/daemon.py
@@ -42,10 +42,10 @@
 from berylspindle_model.checked import MAX_TEXT
 from berylspindle_model.events import EventKind
 from berylspindle_model.topology import ClusterState, Vm
-from berylspindle_platform.claims import ClaimOptions, Claims
-from berylspindle_platform.http_store import HttpStore, StoreOptions, open_store
-from berylspindle_platform.store import Store, StoreAway
-from berylspindle_platform.vm_list import HttpVmList, VmRole, VmState, open_vm_list
+from berylspindle_store.claims import ClaimOptions, Claims
+from berylspindle_store.http_store import HttpStore, StoreOptions, open_store
+from berylspindle_store.store import Store, StoreAway
+from berylspindle_store.vm_list import HttpVmList, VmRole, VmState, open_vm_list
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.clock import HybridClock
 from berylspindle_telemetry.logs import logger
--- a/libs/dataplane/berylspindle_dataplane/executor.py
+++ b/libs/dataplane/berylspindle_dataplane/executor.py
@@ -36,7 +36,7 @@
     ExecuteAnswer,
     ExecuteRequest,
 )
-from berylspindle_platform.claim_records import (
+from berylspindle_store.claim_records import (
     AlreadyClaimed,
     Claim,
     Claimed,
@@ -46,8 +46,8 @@
     KeyReused,
     SettleState,
 )
-from berylspindle_platform.claims import Claims
-from berylspindle_platform.store import StoreAway
+from berylspindle_store.claims import Claims
+from berylspindle_store.store import StoreAway
 from berylspindle_telemetry import metric_names as names
 
 T = TypeVar("T")
--- a/libs/dataplane/berylspindle_dataplane/plane.py
+++ b/libs/dataplane/berylspindle_dataplane/plane.py
@@ -36,7 +36,7 @@
 from berylspindle_model.errors import ErrorKind, Refusal
 from berylspindle_model.events import EventKind
 from berylspindle_model.topology import ClusterState, Vm
-from berylspindle_platform.claims import Claims
+from berylspindle_store.claims import Claims
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.metrics import Metrics
 from berylspindle_telemetry.timeline import Timeline
--- a/libs/standins/berylspindle_standins/platform_calls.py
+++ b/libs/standins/berylspindle_standins/platform_calls.py
@@ -14,16 +14,6 @@
 from typing import Final
 
 from berylspindle_model import codec
-from berylspindle_platform import routes
-from berylspindle_platform.routes import (
-    ConflictDocument,
-    EntryDocument,
-    LeaseDocument,
-    LeaseRequest,
-    ListDocument,
-    VmDocument,
-    VmListDocument,
-)
 from berylspindle_standins.platform_faults import PlatformCounts, PlatformFaults
 from berylspindle_standins.standin_http import Reply, json_reply
 from berylspindle_standins.store_state import (
@@ -32,6 +22,16 @@
     StoreState,
     UnknownLeaseError,
 )
+from berylspindle_store import routes
+from berylspindle_store.routes import (
+    ConflictDocument,
+    EntryDocument,
+    LeaseDocument,
+    LeaseRequest,
+    ListDocument,
+    VmDocument,
+    VmListDocument,
+)
 from berylspindle_wire.http import HttpRequest
 
 MAX_WAIT: Final = 60.0
--- a/libs/standins/berylspindle_standins/platform_main.py
+++ b/libs/standins/berylspindle_standins/platform_main.py
@@ -15,8 +15,8 @@
 from cyclopts import App
 
 from berylspindle_model import codec
-from berylspindle_platform.routes import VmDocument, VmListDocument
 from berylspindle_standins.platform_standin import start_platform
+from berylspindle_store.routes import VmDocument, VmListDocument
 
 EXIT_BAD_SETTING: Final = 2
 EXIT_PORT_TAKEN: Final = 3
--- a/libs/standins/berylspindle_standins/platform_standin.py
+++ b/libs/standins/berylspindle_standins/platform_standin.py
@@ -16,8 +16,6 @@
 from typing import Final, Self
 
 from berylspindle_model import codec
-from berylspindle_platform import routes
-from berylspindle_platform.routes import VmDocument, VmListDocument
 from berylspindle_standins.platform_calls import PlatformCalls, call_kind
 from berylspindle_standins.platform_faults import (
     Outage,
@@ -35,6 +33,8 @@
     listen,
 )
 from berylspindle_standins.store_state import StoreState
+from berylspindle_store import routes
+from berylspindle_store.routes import VmDocument, VmListDocument
 from berylspindle_wire.http import HttpRequest
 
 FAULTS_PATH: Final = "/faults"
--- a/libs/standins/berylspindle_standins/store_state.py
+++ b/libs/standins/berylspindle_standins/store_state.py
@@ -18,7 +18,7 @@
 
 import attrs
 
-from berylspindle_platform.routes import EntryDocument
+from berylspindle_store.routes import EntryDocument
 
 LOG_LENGTH: Final = 10_000
 HISTORY_SECONDS: Final = 60.0
--- a/libs/platform/berylspindle_platform/claim_leases.py
+++ b/libs/store/berylspindle_store/claim_leases.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from berylspindle_platform.store import Store
+from berylspindle_store.store import Store
 
 # A lease is renewed this share of the share time before its end, so that a claim which begins just
 # before the end is not refused for having ended after it.
--- a/libs/platform/berylspindle_platform/claim_records.py
+++ b/libs/store/berylspindle_store/claim_records.py
@@ -21,7 +21,7 @@
 
 from berylspindle_model import codec
 from berylspindle_model.errors import ErrorKind, RunState
-from berylspindle_platform.store import StoreAway, StoredValue
+from berylspindle_store.store import StoreAway, StoredValue
 
 CLAIMS_PREFIX: Final = "claims/"
 
--- a/libs/platform/berylspindle_platform/claims.py
+++ b/libs/store/berylspindle_store/claims.py
@@ -42,8 +42,8 @@
 
 import attrs
 
-from berylspindle_platform.claim_leases import ClaimLeases, SharedLease
-from berylspindle_platform.claim_records import (
+from berylspindle_store.claim_leases import ClaimLeases, SharedLease
+from berylspindle_store.claim_records import (
     AlreadyClaimed,
     Claim,
     Claimed,
@@ -58,8 +58,8 @@
     decode_record,
     encode_record,
 )
-from berylspindle_platform.pending_claims import PendingClaims
-from berylspindle_platform.store import (
+from berylspindle_store.pending_claims import PendingClaims
+from berylspindle_store.store import (
     Store,
     StoreAway,
     StoreConflict,
--- a/libs/platform/berylspindle_platform/http_store.py
+++ b/libs/store/berylspindle_store/http_store.py
@@ -16,8 +16,8 @@
 import attrs
 
 from berylspindle_model import codec
-from berylspindle_platform import routes
-from berylspindle_platform.store import (
+from berylspindle_store import routes
+from berylspindle_store.store import (
     Lease,
     ListResult,
     Store,
--- a/libs/platform/berylspindle_platform/pending_claims.py
+++ b/libs/store/berylspindle_store/pending_claims.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from berylspindle_platform.claim_records import (
+from berylspindle_store.claim_records import (
     Claim,
     ClaimRecord,
     SettleState,
@@ -25,7 +25,7 @@
     decode_record,
     encode_record,
 )
-from berylspindle_platform.store import (
+from berylspindle_store.store import (
     Store,
     StoreAway,
     StoreConflict,
--- a/libs/platform/berylspindle_platform/vm_list.py
+++ b/libs/store/berylspindle_store/vm_list.py
@@ -17,9 +17,9 @@
 import attrs
 
 from berylspindle_model import codec
-from berylspindle_platform import routes
-from berylspindle_platform.http_store import StoreOptions, platform_pool
-from berylspindle_platform.store import StoreAway
+from berylspindle_store import routes
+from berylspindle_store.http_store import StoreOptions, platform_pool
+from berylspindle_store.store import StoreAway
 from berylspindle_wire.http import HttpRequest
 from berylspindle_wire.http_client import HttpFailure
 
--- a/tests/controlplane/conftest.py
+++ b/tests/controlplane/conftest.py
@@ -14,8 +14,9 @@
 from berylspindle_controlplane.plane import ControlOptions, ControlPlane
 from berylspindle_controlplane.transport import Address, Transport, TransportError
 from berylspindle_model.topology import ClusterState, Vm
-from berylspindle_platform.routes import EntryDocument
-from berylspindle_platform.store import (
+from berylspindle_standins.store_state import ConflictError, StoreState
+from berylspindle_store.routes import EntryDocument
+from berylspindle_store.store import (
     Lease,
     ListResult,
     Store,
@@ -25,8 +26,7 @@
     StoreUnsure,
     WatchResult,
 )
-from berylspindle_platform.vm_list import ListedVm, VmList, VmRole, VmState
-from berylspindle_standins.store_state import ConflictError, StoreState
+from berylspindle_store.vm_list import ListedVm, VmList, VmRole, VmState
 
 # The clock is virtual, so the times of the protocol are the usual ones.
 OPTIONS = ControlOptions()
--- a/tests/controlplane/test_configuration_machine.py
+++ b/tests/controlplane/test_configuration_machine.py
@@ -32,7 +32,7 @@
 from berylspindle_model.errors import ErrorKind, RefusalError
 from berylspindle_model.intents import Intent, IntentKind, Plan
 from berylspindle_model.topology import Vm
-from berylspindle_platform.store import StoredValue
+from berylspindle_store.store import StoredValue
 
 CONFIGURATION = Configuration(
     revision=1,
--- a/tests/daemon/test_cluster_watch.py
+++ b/tests/daemon/test_cluster_watch.py
@@ -8,7 +8,7 @@
 from berylspindle_daemon.counted_store import CountedStore
 from berylspindle_model.events import EventKind
 from berylspindle_model.topology import ClusterState, View, Vm
-from berylspindle_platform.store import (
+from berylspindle_store.store import (
     Lease,
     ListResult,
     Store,
--- a/tests/daemon/test_intents_leaving.py
+++ b/tests/daemon/test_intents_leaving.py
@@ -26,9 +26,9 @@
 from berylspindle_model import codec
 from berylspindle_model.intents import IntentKind
 from berylspindle_model.messages import SearchAnswer
-from berylspindle_platform.routes import VmDocument, VmListDocument
 from berylspindle_standins.backend_faults import BackendAction, BackendCounts, FaultChange
 from berylspindle_standins.platform_standin import VMS_ADMIN_PATH
+from berylspindle_store.routes import VmDocument, VmListDocument
 from berylspindle_wire.client import HttpClient
 
 RETIRED, DRAINED, LISTED = "lots-0-0", "lots-1-0", "lots-2-0"
--- a/tests/standins/test_platform_standin.py
+++ b/tests/standins/test_platform_standin.py
@@ -9,11 +9,11 @@
 import pytest
 
 from berylspindle_model import codec
-from berylspindle_platform.http_store import HttpStore, StoreOptions, open_store
-from berylspindle_platform.store import StoreAway, StoreUnsure
 from berylspindle_standins.platform_faults import PlatformChange
 from berylspindle_standins.platform_standin import PlatformStandin, start_platform
 from berylspindle_standins.store_state import StoreState
+from berylspindle_store.http_store import HttpStore, StoreOptions, open_store
+from berylspindle_store.store import StoreAway, StoreUnsure
 from berylspindle_wire.client import HttpClient
 
 OPTIONS = StoreOptions(read_timeout=0.2, write_timeout=0.2)
--- a/tests/platform/test_claims.py
+++ b/tests/store/test_claims.py
@@ -8,7 +8,9 @@
 import pytest
 
 from berylspindle_model.errors import RunState
-from berylspindle_platform.claim_records import (
+from berylspindle_standins.platform_faults import PlatformChange
+from berylspindle_standins.platform_standin import PlatformStandin, start_platform
+from berylspindle_store.claim_records import (
     AlreadyClaimed,
     Claimed,
     ClaimState,
@@ -18,11 +20,9 @@
     StoreIsAway,
     claim_path,
 )
-from berylspindle_platform.claims import ClaimOptions, Claims
-from berylspindle_platform.http_store import HttpStore, StoreOptions, open_store
-from berylspindle_platform.store import StoreAway
-from berylspindle_standins.platform_faults import PlatformChange
-from berylspindle_standins.platform_standin import PlatformStandin, start_platform
+from berylspindle_store.claims import ClaimOptions, Claims
+from berylspindle_store.http_store import HttpStore, StoreOptions, open_store
+from berylspindle_store.store import StoreAway
 
 OPTIONS = StoreOptions(read_timeout=0.3, write_timeout=0.3)
 DONE = DispatchOutcome(server="s1", run=RunState.RAN, result={"confirmed": "k"})
--- a/tests/platform/test_claims_machine.py
+++ b/tests/store/test_claims_machine.py
@@ -27,10 +27,11 @@
 
 from berylspindle_model import codec
 from berylspindle_model.errors import RunState
-from berylspindle_platform.claim_leases import ClaimLeases, SharedLease
-from berylspindle_platform.claim_records import Claim, Claimed, ClaimRecord, DispatchOutcome
-from berylspindle_platform.claims import ClaimOptions, Claims
-from berylspindle_platform.store import (
+from berylspindle_standins.store_state import ConflictError, StoreState, UnknownLeaseError
+from berylspindle_store.claim_leases import ClaimLeases, SharedLease
+from berylspindle_store.claim_records import Claim, Claimed, ClaimRecord, DispatchOutcome
+from berylspindle_store.claims import ClaimOptions, Claims
+from berylspindle_store.store import (
     Lease,
     ListResult,
     Store,
@@ -41,7 +42,6 @@
     StoreUnsure,
     WatchResult,
 )
-from berylspindle_standins.store_state import ConflictError, StoreState, UnknownLeaseError
 
 VALID = 100.0
 OPTIONS = ClaimOptions(valid_for=VALID, longest=VALID, share_for=20.0, tries=2)
--- a/tests/platform/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -7,17 +7,17 @@
 
 import pytest
 
-from berylspindle_platform.http_store import HttpStore, StoreOptions, open_store
-from berylspindle_platform.routes import VmDocument
-from berylspindle_platform.store import (
+from berylspindle_standins.platform_faults import PlatformChange
+from berylspindle_standins.platform_standin import PlatformStandin, start_platform
+from berylspindle_store.http_store import HttpStore, StoreOptions, open_store
+from berylspindle_store.routes import VmDocument
+from berylspindle_store.store import (
     StoreAway,
     StoreConflict,
     StoreLeaseGone,
     StoreUnsure,
 )
-from berylspindle_platform.vm_list import VmRole, VmState, open_vm_list
-from berylspindle_standins.platform_faults import PlatformChange
-from berylspindle_standins.platform_standin import PlatformStandin, start_platform
+from berylspindle_store.vm_list import VmRole, VmState, open_vm_list
 from berylspindle_wire.http import HttpRequest, HttpResponse
 from berylspindle_wire.http_server import serve
 
--- a/tests/platform/test_interfaces_page.py
+++ b/tests/store/test_interfaces_page.py
@@ -63,7 +63,7 @@
 
 def test_the_page_has_typed_examples_of_both_edges() -> None:
     modules = {module for module, _, _ in EXAMPLES}
-    assert {"berylspindle_model.backend_protocol", "berylspindle_platform.routes"} <= modules
+    assert {"berylspindle_model.backend_protocol", "berylspindle_store.routes"} <= modules
 
 
 def test_the_lengths_in_the_exchanges_are_those_of_their_bodies() -> None:
