--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-LIBS := model decisions telemetry wire store dataplane controlplane client daemon cli standins bench
+LIBS := model decisions telemetry wire store dataplane controlplane forwarding client daemon cli standins bench
 DEPLOYMENT ?= kurabito
 
 .PHONY: setup format check types contracts unit test demo bench capacity history clean
--- /dev/null
+++ b/libs/decisions/berylspindle_decisions/attempt_race.py
@@ -0,0 +1,223 @@
+"""The attempts of one request at one service: which goes out next, and when.
+
+Pattern of load: replicas that pause, refuse, fail and vanish while a request waits for one of them.
+
+Terms:
+  attempt    one sending to one replica; at the end it has answered, has surely not run, or may have
+  runs       attempts that have run, may have, or still may; never more than the route allows
+  hedge      an attempt beside one that is out
+  retry      an attempt after all others have ended without an answer
+  patience   until when a service without any usable replica is waited for
+
+Flow: `step` says what to do now: send to a replica, wait until a time, or give up; the caller
+reports each attempt's end. The race asks a `RaceGuide` for replicas and for leave of the extra
+share, and holds no clock.
+
+Guards: what may not be repeated gets a second attempt only where the first has surely not run; a
+lost connection after the first byte ends it. A request never has more runs than its route allows,
+hedges and retries together. Refusals cost arrivals too, so that after each a pause grows from
+`PAUSE_FIRST`.
+
+Thresholds: a replica that refused is asked again after 10 ms, then twice as long: its queue of some
+twenty is gone in about that many. A budget that is spent is asked again after `BUDGET_PAUSE`.
+"""
+
+from __future__ import annotations
+
+import abc
+import enum
+import math
+from typing import Final
+
+import attrs
+
+PAUSE_FIRST: Final = 0.01
+PAUSE_MOST: Final = 0.16
+BUDGET_PAUSE: Final = 0.01
+HEDGE_AGAIN: Final = 0.01
+
+
+class AttemptEnd(enum.Enum):
+    """What is known of an attempt that has ended.
+
+    NOT_SENT: no byte of it left this VM, so that it was no arrival either. NOT_RUN: the replica
+    refused it.
+    """
+
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+class RaceState(enum.Enum):
+    """Where a race stands."""
+
+    OPEN = "open"
+    WON = "won"
+    LOST = "lost"
+
+
+@attrs.frozen
+class SendTo:
+    """Send an attempt to this replica now."""
+
+    replica: str
+    reason: str
+
+
+@attrs.frozen
+class WaitUntil:
+    """Nothing to do before this time, if nothing else happens."""
+
+    time: float
+
+
+@attrs.frozen
+class GiveUp:
+    """No answer can come any more."""
+
+    detail: str
+
+
+_UNRUN: Final = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN})
+
+RaceStep = SendTo | WaitUntil | GiveUp
+
+
+class RaceGuide(abc.ABC):
+    """What a race needs to know of everything beyond it."""
+
+    @abc.abstractmethod
+    def pick(self, service: str, *, tried: frozenset[str], hedge: bool) -> str | None:
+        """Return the replica for an attempt, or None where none is usable.
+
+        For a hedge only one that is expected to answer sooner than a stalled one would.
+        """
+
+    @abc.abstractmethod
+    def may_take_extra(self, service: str, *, hedge: bool) -> bool:
+        """Tell whether the extra share allows one more arrival; True has taken it."""
+
+    @abc.abstractmethod
+    def hedge_after(self, service: str) -> float:
+        """Return after how many seconds an attempt that goes out now is hedged."""
+
+
+@attrs.define(eq=False)
+class RaceAttempt:
+    """One attempt of a race."""
+
+    replica: str
+    sent_at: float
+    hedge_at: float
+    end: AttemptEnd | None = None
+    is_out: bool = True
+
+    @property
+    def counts_as_run(self) -> bool:
+        """Tell whether it has run, may have, or still may."""
+        return self.end not in _UNRUN
+
+
+class AttemptRace:
+    """The attempts of one request at one service."""
+
+    def __init__(
+        self,
+        service: str,
+        *,
+        repeatable: bool,
+        most_runs: int,
+        patient_until: float,
+        deadline: float,
+    ) -> None:
+        self.service: Final = service
+        self.state = RaceState.OPEN
+        self.attempts: list[RaceAttempt] = []
+        self._repeatable: Final = repeatable
+        self._most_runs: Final = most_runs
+        self._patient_until: Final = patient_until
+        self._deadline: Final = deadline
+        self._not_before = -math.inf
+        self._pause = PAUSE_FIRST
+        self._hedge_at = math.inf
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether any attempt has run, may have, or still may."""
+        return any(attempt.counts_as_run for attempt in self.attempts)
+
+    def step(self, now: float, guide: RaceGuide) -> RaceStep:
+        """Return what to do now; ask again until it says to wait."""
+        runs = sum(attempt.counts_as_run for attempt in self.attempts)
+        is_out = any(attempt.is_out for attempt in self.attempts)
+        if is_out:
+            return self._step_hedge(now, guide, runs)
+        if runs >= self._most_runs or (runs and not self._repeatable):
+            return self._lose("every attempt that is allowed has failed")
+        if now >= self._deadline:
+            return self._lose("the deadline passed")
+        if now < self._not_before:
+            return WaitUntil(min(self._not_before, self._deadline))
+        return self._step_retry(now, guide)
+
+    def sent(self, now: float, replica: str, guide: RaceGuide) -> RaceAttempt:
+        """Note an attempt that goes out now."""
+        hedge_at = now + guide.hedge_after(self.service)
+        attempt = RaceAttempt(replica, now, hedge_at)
+        self.attempts.append(attempt)
+        self._hedge_at = hedge_at
+        return attempt
+
+    def answered(self, attempt: RaceAttempt) -> None:
+        """Note the answer; the race is won."""
+        attempt.is_out = False
+        attempt.end = AttemptEnd.RAN
+        self.state = RaceState.WON
+
+    def ended(self, now: float, attempt: RaceAttempt, end: AttemptEnd, *, refused: bool) -> None:
+        """Note an attempt that ended without an answer; `refused` by the replica itself."""
+        attempt.is_out = False
+        attempt.end = end
+        if not refused or any(other.is_out for other in self.attempts):
+            return
+        if {other.replica for other in self.attempts if other is not attempt}:
+            # The first refusal is rerouted at once; from the second on the service is pressed.
+            self._not_before = now + self._pause
+            self._pause = min(PAUSE_MOST, 2 * self._pause)
+
+    def _step_hedge(self, now: float, guide: RaceGuide, runs: int) -> RaceStep:
+        if not self._repeatable or runs >= self._most_runs:
+            return WaitUntil(self._deadline)
+        if now < self._hedge_at:
+            return WaitUntil(min(self._hedge_at, self._deadline))
+        tried = frozenset(attempt.replica for attempt in self.attempts)
+        replica = guide.pick(self.service, tried=tried, hedge=True)
+        if replica is None or not guide.may_take_extra(self.service, hedge=True):
+            self._hedge_at = now + HEDGE_AGAIN
+            return WaitUntil(min(self._hedge_at, self._deadline))
+        return SendTo(replica, "hedge")
+
+    def _step_retry(self, now: float, guide: RaceGuide) -> RaceStep:
+        out_of = frozenset(attempt.replica for attempt in self.attempts if attempt.counts_as_run)
+        tried = frozenset(attempt.replica for attempt in self.attempts)
+        replica = guide.pick(self.service, tried=tried, hedge=False)
+        if replica is None and tried != out_of:
+            # Only replicas that refused are left.
+            replica = guide.pick(self.service, tried=out_of, hedge=False)
+        if replica is None:
+            if now >= self._patient_until:
+                return self._lose("no replica is usable")
+            self._not_before = now + BUDGET_PAUSE
+            return WaitUntil(min(self._not_before, self._deadline))
+        if all(attempt.end is AttemptEnd.NOT_SENT for attempt in self.attempts):
+            return SendTo(replica, "first")
+        if not guide.may_take_extra(self.service, hedge=False):
+            self._not_before = now + BUDGET_PAUSE
+            return WaitUntil(min(self._not_before, self._deadline))
+        return SendTo(replica, "retry")
+
+    def _lose(self, detail: str) -> GiveUp:
+        self.state = RaceState.LOST
+        return GiveUp(detail)
--- /dev/null
+++ b/libs/decisions/berylspindle_decisions/replica_standing.py
@@ -0,0 +1,160 @@
+"""What one VM holds of one replica, and which replica of a service a sub-request goes to.
+
+Pattern of load: one replica of a shard that is slow, paused, shedding or gone, among sound ones,
+while other VMs send to all of them too. Without it each search over ten shards meets that replica
+in some shard, and waits for it.
+
+Terms:
+  pace       latency of the replica's answers over the usual latency of their routes; 1 is usual
+  late       an attempt that has been out for longer than its hedge delay
+  stalled    a replica whose oldest attempt is late; it answers nothing just now
+  held off   a replica that has refused or failed lately, until a time that doubles with each
+  cost       what an attempt is expected to take, in usual latencies; the least is chosen
+
+Flow: `sent`, `answered`, `refused`, `failed` and `given_up` follow each attempt; `cost` is asked
+for each choice. `Standing` is of one VM; what other VMs know comes in by `told_stalled`.
+
+Thresholds: a pace moves by `PACE_UP` of the way to a slower answer, so that one answer of a replica
+that turned ten times as slow makes it five times as dear, and by `PACE_DOWN` to a faster one. It is
+forgotten over `PACE_MEMORY` seconds, for what is not asked shows nothing: a replica that was slow
+is tried again by one request of each VM in that time, and its hedge answers in its place. A stalled
+replica costs `STALLED` usual latencies: it gets work only where all others are stalled too. A held
+off one costs `HELD_OFF`, less than a stalled one, since it answers at once.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Final
+
+PACE_UP: Final = 0.5
+PACE_DOWN: Final = 0.25
+PACE_MEMORY: Final = 4.0
+MOST_PACE: Final = 20.0
+STALLED: Final = 30.0
+HELD_OFF: Final = 15.0
+HOLD_FIRST: Final = 0.1
+HOLD_MOST: Final = 3.0
+REPORT_FRESH: Final = 0.3
+LOCAL_SHARE: Final = 0.7
+SPREAD: Final = 0.25
+COLD_COST: Final = 1.6
+
+
+class Standing:
+    """One replica as one VM knows it; times are in seconds of the caller's clock."""
+
+    def __init__(self, *, slots: int, is_local: bool) -> None:
+        self.slots = max(1, slots)
+        self.is_local = is_local
+        self.cold_until = -math.inf
+        self._pace = 1.0
+        self._pace_at = -math.inf
+        # When each attempt that is out turns late, in the order in which they were sent.
+        self._out: dict[object, float] = {}
+        self._held_until = -math.inf
+        self._holds = 0
+        self._stalled_until = -math.inf
+        self._load = 0.0
+        self._load_at = -math.inf
+
+    @property
+    def outstanding(self) -> int:
+        """Return how many attempts are out."""
+        return len(self._out)
+
+    def pace(self, now: float) -> float:
+        """Return the pace, as far as it is remembered."""
+        age = now - self._pace_at
+        if age > 4 * PACE_MEMORY:
+            return 1.0
+        return 1.0 + (self._pace - 1.0) * math.exp(-max(0.0, age) / PACE_MEMORY)
+
+    def is_stalled(self, now: float) -> bool:
+        """Tell whether the replica answers nothing just now."""
+        if now < self._stalled_until:
+            return True
+        for late_at in self._out.values():
+            return late_at <= now
+        return False
+
+    def is_held_off(self, now: float) -> bool:
+        """Tell whether the replica has refused or failed lately."""
+        return now < self._held_until
+
+    def sent(self, attempt: object, *, late_at: float) -> None:
+        """Note an attempt that goes out."""
+        self._out[attempt] = late_at
+
+    def answered(self, now: float, attempt: object, *, ratio: float) -> None:
+        """Note an answer; `ratio` is its latency over the usual one of its route."""
+        self._out.pop(attempt, None)
+        self._stalled_until = -math.inf
+        self._holds = 0
+        self._learn(now, ratio)
+
+    def refused(self, now: float, attempt: object, *, wait: float = 0.0) -> None:
+        """Note a refusal that did not run; `wait` is the time that the replica asked for."""
+        self._out.pop(attempt, None)
+        self._stalled_until = -math.inf
+        self._hold(now, wait)
+
+    def failed(self, now: float, attempt: object) -> None:
+        """Note a failure: a lost connection, a broken reply, a fault of the replica."""
+        self._out.pop(attempt, None)
+        self._hold(now, 0.0)
+
+    def given_up(self, now: float, attempt: object, *, ratio: float) -> None:
+        """Note an attempt that was given up unanswered after `ratio` usual latencies."""
+        if self._out.pop(attempt, None) is None:
+            return
+        if ratio > self.pace(now):
+            self._learn(now, ratio)
+        if ratio > STALLED / 2:
+            self._hold(now, 0.0)
+
+    def withdrawn(self, attempt: object) -> None:
+        """Note an attempt that never went out after all."""
+        self._out.pop(attempt, None)
+
+    def reported(self, now: float, *, running: int, waiting: int, slots: int) -> None:
+        """Take what the replica says of its load, of all callers together."""
+        self.slots = max(1, slots)
+        self._load = running + waiting
+        self._load_at = now
+
+    def told_stalled(self, until: float) -> None:
+        """Take from another VM that the replica answers nothing; ends by itself, or by an answer."""
+        self._stalled_until = max(self._stalled_until, until)
+
+    def cost(self, now: float, *, u: float) -> float:
+        """Return what one more attempt is expected to take, in usual latencies.
+
+        `u` is a random number in [0, 1), which spreads VMs that know the same.
+        """
+        busy = float(len(self._out))
+        if now - self._load_at < REPORT_FRESH and self._load > busy:
+            busy = self._load
+        queued = max(0.0, busy + 1.0 - self.slots) / self.slots
+        cost = self.pace(now) * (1.0 + queued) + SPREAD * (busy / self.slots + 0.2 * u)
+        if now < self.cold_until:
+            cost *= COLD_COST
+        if self.is_local:
+            cost *= LOCAL_SHARE
+        if self.is_stalled(now):
+            cost += STALLED
+        if now < self._held_until:
+            cost += HELD_OFF
+        return cost
+
+    def _learn(self, now: float, ratio: float) -> None:
+        pace = self.pace(now)
+        weight = PACE_UP if ratio > pace else PACE_DOWN
+        self._pace = pace + weight * (min(ratio, MOST_PACE) - pace)
+        self._pace_at = now
+
+    def _hold(self, now: float, wait: float) -> None:
+        if now >= self._held_until:
+            self._holds = min(self._holds + 1, 8)
+        pause = min(HOLD_MOST, HOLD_FIRST * 2.0 ** (self._holds - 1))
+        self._held_until = max(self._held_until, now + max(pause, min(wait, HOLD_MOST)))
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forward callers' requests to replicas by a routing table."""
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/attempt_guide.py
@@ -0,0 +1,183 @@
+"""What the drive of a request asks and tells of replicas, budgets and latencies.
+
+Terms:
+  tools   what all requests of one VM share
+  times   the bounds of one request
+
+Flow: the forwarder makes one `ForwardTools`; each request gets a `ServiceGuide`, which answers its
+races from the replica book, the extra shares and the route's latency profile, and feeds all three
+with what comes of each attempt.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from berylspindle_decisions.answer_time import HedgeTimes, hedge_times
+from berylspindle_decisions.attempt_race import RaceGuide
+from berylspindle_decisions.extra_share import ExtraBounds, ExtraShare
+from berylspindle_decisions.latency_profile import LatencyProfile
+from berylspindle_forwarding.dialect import HOP_HEADERS, Dialect
+from berylspindle_forwarding.replica_book import ReplicaBook, ReplicaHandle
+from berylspindle_forwarding.reply_check import ReplyClass
+from berylspindle_model.routing import Route
+from berylspindle_telemetry import metric_names as names
+from berylspindle_telemetry.metrics import Metrics
+from berylspindle_wire.exchange import EndKind, ExchangeEnd, ExchangeReply
+
+if TYPE_CHECKING:
+    from berylspindle_forwarding.drive import Attempt
+
+RETRY_AFTER_MS: Final = 300
+"""When a caller may come back to a service without a usable replica: a replica that has crashed is
+back, or its absence known, within some of these."""
+
+
+@attrs.define(kw_only=True)
+class ForwardTools:
+    """What all requests of one VM share."""
+
+    book: ReplicaBook
+    dialect: Dialect
+    metrics: Metrics
+    now: Callable[[], float]
+    vms: Callable[[], int]
+    bounds: ExtraBounds
+    started: float
+    shares: dict[str, ExtraShare] = attrs.field(factory=dict)
+    profiles: dict[str, LatencyProfile] = attrs.field(factory=dict)
+
+    def share(self, service: str) -> ExtraShare:
+        """Return this VM's extra share at a service."""
+        found = self.shares.get(service)
+        if found is None:
+            found = self.shares[service] = ExtraShare(self.bounds, started=self.started)
+        return found
+
+    def profile(self, route: Route) -> LatencyProfile:
+        """Return the latencies of a route's sub-requests."""
+        found = self.profiles.get(route.name)
+        if found is None:
+            found = self.profiles[route.name] = LatencyProfile()
+        return found
+
+
+@attrs.frozen(kw_only=True)
+class DriveTimes:
+    """The bounds of one request, in seconds of the loop's clock.
+
+    Attributes:
+        aim_cut: when an answer must leave to be worth all that it can be.
+        deadline: when the caller stops waiting; what replicas are told.
+        answer_by: when the last answer must leave to reach the caller by then.
+    """
+
+    started: float
+    aim_cut: float
+    deadline: float
+    answer_by: float
+
+
+class ServiceGuide(RaceGuide):
+    """What the races of one request need to know, and what is learned from them."""
+
+    def __init__(self, tools: ForwardTools, route: Route, times: DriveTimes) -> None:
+        self._tools: Final = tools
+        self._route: Final = route
+        self._times: Final = times
+        self._profile: Final = tools.profile(route)
+        self._hedge: HedgeTimes | None = None
+
+    def pick(self, service: str, *, tried: frozenset[str], hedge: bool) -> str | None:
+        """Return the replica for an attempt, or None."""
+        handle = self._tools.book.pick(service, tried=tried, hedge=hedge)
+        return handle.replica.id if handle is not None else None
+
+    def may_take_extra(self, service: str, *, hedge: bool) -> bool:
+        """Tell whether one more arrival is allowed; True has taken it."""
+        now, share = self._tools.now(), self._tools.share(service)
+        if not share.may_take(now, vms=self._tools.vms(), hedge=hedge):
+            self._tools.metrics.count(names.FORWARD_DENIED, reason="hedge" if hedge else "retry")
+            return False
+        share.take(now)
+        return True
+
+    def hedge_after(self, service: str) -> float:
+        """Return after how many seconds an attempt that goes out now is hedged."""
+        return self._hedge_times().delay_ms / 1000
+
+    def handle(self, replica: str) -> ReplicaHandle:
+        """Return the handle of a replica that was just picked."""
+        found = self._tools.book.get(replica)
+        assert found is not None
+        return found
+
+    def note_sent(self, now: float, attempt: Attempt, reason: str) -> None:
+        """Note an attempt that goes out."""
+        attempt.handle.standing.sent(attempt, late_at=attempt.record.hedge_at)
+        if now < attempt.handle.standing.cold_until:
+            attempt.handle.note_cold_send(now)
+        self._tools.metrics.count(names.FORWARD_ATTEMPTS, reason=reason)
+
+    def note_load(self, now: float, handle: ReplicaHandle, reply: ExchangeReply) -> None:
+        """Take a replica's report of its load, if its reply holds one that can be read."""
+        text = reply.header(self._tools.dialect.load)
+        if text is None:
+            return
+        parts = text.split(",")
+        if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+            running, waiting, slots = (int(part) for part in parts)
+            handle.standing.reported(now, running=running, waiting=waiting, slots=slots)
+
+    def note_reply(
+        self,
+        now: float,
+        attempt: Attempt,
+        verdict: ReplyClass,
+        elapsed_ms: float,
+        reply: ExchangeReply,
+    ) -> None:
+        """Learn from a whole reply."""
+        standing = attempt.handle.standing
+        self._tools.metrics.count(names.FORWARD_REPLIES, kind=verdict.value)
+        if verdict in (ReplyClass.ANSWER, ReplyClass.FINAL):
+            usual = self._hedge_times().usual_ms
+            self._profile.add(elapsed_ms)
+            standing.answered(now, attempt, ratio=elapsed_ms / max(usual, 0.1))
+        elif verdict is ReplyClass.REFUSED:
+            standing.refused(now, attempt)
+        elif verdict is ReplyClass.MISDIRECTED:
+            standing.refused(now, attempt)
+            self._tools.book.set_misplaced(attempt.handle)
+        else:
+            standing.failed(now, attempt)
+
+    def note_end(self, now: float, attempt: Attempt, end: ExchangeEnd) -> None:
+        """Learn from an attempt without a reply."""
+        self._tools.metrics.count(names.FORWARD_REPLIES, kind=end.kind.value)
+        if end.kind is EndKind.NOT_SENT:
+            attempt.handle.standing.withdrawn(attempt)
+        attempt.handle.standing.failed(now, attempt)
+
+    def note_given_up(self, now: float, attempt: Attempt, elapsed_ms: float) -> None:
+        """Learn from an attempt that nobody waits for any more."""
+        usual = self._hedge_times().usual_ms
+        attempt.handle.standing.given_up(now, attempt, ratio=elapsed_ms / max(usual, 0.1))
+
+    def retry_after_ms(self, now: float) -> int:
+        """Return when a caller that was refused unrun may come back."""
+        left_ms = (self._times.deadline - now) * 1000
+        return int(max(0.0, min(RETRY_AFTER_MS, left_ms / 3)))
+
+    def end_to_end(self, reply: ExchangeReply) -> tuple[tuple[bytes, bytes], ...]:
+        """Return the headers of a reply that are not of its hop."""
+        return tuple((n, v) for n, v in reply.headers if n not in HOP_HEADERS)
+
+    def _hedge_times(self) -> HedgeTimes:
+        now = self._tools.now()
+        aim_left_ms = (self._times.aim_cut - now) * 1000
+        aim_ms = (self._times.aim_cut - self._times.started) * 1000
+        return hedge_times(self._profile, aim_left_ms=aim_left_ms, aim_ms=aim_ms)
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -0,0 +1,222 @@
+"""What the store says of routes, replicas and data centres, followed by one task.
+
+Terms:
+  change      one entry of the store, read by a `CatalogueReader` into what it means settling    the
+  time after an outage of the store in which entries that have gone are kept: whoever
+              is alive announces itself again within it
+
+Flow: `run` lists all that there is, then watches what comes after, and hands each change to a
+`CatalogueListener`. Every failure is followed by another try, later and later.
+
+Guards: leases of live replicas lapse while the store is away, and their entries go. Taken at its
+word, the store would leave a service without a replica just when it is back. So an entry that goes
+within `SETTLE_S` of an outage is kept until that time is over, and dropped only if it hasn't come
+back. An entry that can't be read names nothing and changes nothing else.
+"""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from berylspindle_model.routing import Replica, RoutingTable
+from berylspindle_store.store import Store, StoreAway, StoredValue, StoreUnsure
+
+WATCH_S: Final = 28.0
+"""Seconds that a watch waits: the longest that the store takes, less its way there."""
+
+GATHER_S: Final = 0.25
+"""Seconds between the answer to a watch and the next one, in which changes gather: each call to the
+store costs, and a release changes tens of entries one by one. The bounds on following a change are
+ten times as long."""
+
+SETTLE_S: Final = 2.5
+RETRY_FIRST_S: Final = 0.2
+RETRY_MOST_S: Final = 2.0
+
+
+@attrs.frozen
+class TableChange:
+    """A routing table is in force."""
+
+    table: RoutingTable
+
+
+@attrs.frozen
+class ReplicaChange:
+    """A replica has announced itself, or has gone."""
+
+    id: str
+    replica: Replica | None
+
+
+@attrs.frozen
+class OutChange:
+    """A data centre is taken out, or is back."""
+
+    data_centre: str
+    is_out: bool
+
+
+@attrs.frozen
+class VmChange:
+    """A VM of the system is there, at this address, or has gone."""
+
+    id: str
+    address: str | None
+
+
+@attrs.frozen
+class Unreadable:
+    """An entry that names nothing; the reason is for the log."""
+
+    key: str
+    reason: str
+
+
+Change = TableChange | ReplicaChange | OutChange | VmChange | Unreadable
+
+
+class CatalogueReader(abc.ABC):
+    """Say what an entry of the store means."""
+
+    @property
+    @abc.abstractmethod
+    def prefix(self) -> str:
+        """Return the prefix of all keys that matter."""
+
+    @property
+    @abc.abstractmethod
+    def parts(self) -> tuple[str, ...]:
+        """Return the prefixes to list at the start; together they hold all that matters."""
+
+    @abc.abstractmethod
+    def read(self, entry: StoredValue) -> Change | None:
+        """Return what an entry means, or None for one that is no matter of the catalogue's."""
+
+
+class CatalogueListener(abc.ABC):
+    """Who follows the catalogue."""
+
+    @abc.abstractmethod
+    def on_change(self, change: Change) -> None:
+        """Take one change."""
+
+    @abc.abstractmethod
+    def on_listed(self) -> None:
+        """Take that all that there is has been told."""
+
+    @abc.abstractmethod
+    def on_store(self, reached: bool, detail: str) -> None:
+        """Take whether the store answers."""
+
+
+class Catalogue:
+    """Follow the store; `run` is the task that owns all state here."""
+
+    def __init__(
+        self,
+        store: Store,
+        reader: CatalogueReader,
+        listener: CatalogueListener,
+        *,
+        now: Callable[[], float],
+        u: Callable[[], float],
+    ) -> None:
+        self._store: Final = store
+        self._reader: Final = reader
+        self._listener: Final = listener
+        self._now: Final = now
+        self._u: Final = u
+        self._known: dict[str, int] = {}
+        self._going: dict[str, StoredValue] = {}
+        self._settled_at = 0.0
+        self._was_away = False
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        after: int | None = None
+        pause = RETRY_FIRST_S
+        while True:
+            try:
+                after = await self._list() if after is None else await self._watch(after)
+            except (StoreAway, StoreUnsure) as error:
+                self._was_away = True
+                self._listener.on_store(False, str(error))
+                await asyncio.sleep(pause * (0.5 + self._u()))
+                pause = min(RETRY_MOST_S, 2 * pause)
+                continue
+            pause = RETRY_FIRST_S
+            await asyncio.sleep(GATHER_S)
+
+    async def _list(self) -> int:
+        revision: int | None = None
+        found: dict[str, StoredValue] = {}
+        for part in self._reader.parts:
+            listed = await self._store.list(part)
+            # What changes between two lists is found by the watch after the first one.
+            revision = listed.revision if revision is None else min(revision, listed.revision)
+            found.update((entry.key, entry) for entry in listed.entries)
+        self._reached()
+        assert revision is not None
+        for entry in found.values():
+            self._take(entry)
+        for key in [key for key in self._known if key not in found]:
+            self._take(StoredValue(key=key, value=None, revision=revision))
+        self._listener.on_listed()
+        return revision
+
+    async def _watch(self, after: int) -> int | None:
+        wait = WATCH_S
+        if self._going:
+            wait = max(0.05, self._settled_at - self._now())
+        result = await self._store.watch(self._reader.prefix, after=after, wait=wait)
+        self._reached()
+        if result.compacted:
+            return None
+        for entry in result.entries:
+            self._take(entry)
+        self._drop_gone()
+        return result.revision
+
+    def _reached(self) -> None:
+        if self._was_away:
+            self._was_away = False
+            self._settled_at = self._now() + SETTLE_S
+        self._listener.on_store(True, "")
+
+    def _take(self, entry: StoredValue) -> None:
+        known = self._known.get(entry.key, 0)
+        if entry.value is None:
+            if entry.key in self._known and entry.revision >= known:
+                self._note_gone(entry)
+            return
+        self._going.pop(entry.key, None)
+        if entry.revision <= known:
+            return
+        self._known[entry.key] = entry.revision
+        self._tell(entry)
+
+    def _note_gone(self, entry: StoredValue) -> None:
+        if self._now() < self._settled_at:
+            self._going[entry.key] = entry
+            return
+        del self._known[entry.key]
+        self._tell(entry)
+
+    def _drop_gone(self) -> None:
+        if not self._going or self._now() < self._settled_at:
+            return
+        going, self._going = self._going, {}
+        for entry in going.values():
+            self._known.pop(entry.key, None)
+            self._tell(entry)
+
+    def _tell(self, entry: StoredValue) -> None:
+        change = self._reader.read(entry)
+        if change is not None:
+            self._listener.on_change(change)
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/drive.py
@@ -0,0 +1,339 @@
+"""Carry out one request: its attempts at one service or at each shard, and its one answer.
+
+Terms:
+  race      the attempts at one service (`decisions.attempt_race`); a plain request has one race, a
+            request over a shard set one a shard
+  part      a shard's answer with the replica's signature
+  cut       a time at which an answer goes out with what is there: at the aim, then at the deadline
+
+Flow: `run` starts all races and awaits the answer. Each attempt tells the drive how it ended; the
+drive steps that race, looks whether an answer can go out, and keeps one timer for whatever is due
+next. Attempts that are still out when the answer has gone are left to finish, for a connection that
+is closed under a request costs a new one; what they show is learned from. When the caller goes away
+they are ended, which ends their work at the replicas.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from berylspindle_decisions.answer_time import PartsVerdict, parts_verdict
+from berylspindle_decisions.attempt_race import (
+    AttemptEnd,
+    AttemptRace,
+    GiveUp,
+    RaceAttempt,
+    RaceState,
+    SendTo,
+)
+from berylspindle_decisions.record_merge import greatest
+from berylspindle_forwarding.attempt_guide import DriveTimes, ForwardTools, ServiceGuide
+from berylspindle_forwarding.replica_book import ReplicaHandle
+from berylspindle_forwarding.reply_check import ReplyClass, classify
+from berylspindle_forwarding.request_head import ForwardRequest, replica_request
+from berylspindle_model.errors import ErrorKind, Refusal, RunState
+from berylspindle_model.routing import Route
+from berylspindle_wire.exchange import (
+    EndKind,
+    ExchangeConnection,
+    ExchangeEnd,
+    ExchangeReply,
+    ExchangeSink,
+)
+from berylspindle_wire.http import HttpResponse
+
+LINGER_S: Final = 0.3
+"""Seconds past the deadline after which an attempt that nobody waits for is ended; replicas stop at
+the deadline by themselves."""
+
+PATIENCE_S: Final = 0.25
+"""Seconds for which a service without a usable replica is waited for: a replica that has just gone
+is mostly replaced within them, and a caller that is told to come back waits as long."""
+
+
+class Attempt(ExchangeSink):
+    """One attempt of a drive."""
+
+    __slots__ = ("_drive", "connection", "handle", "index", "record")
+
+    def __init__(
+        self, drive: ForwardDrive, index: int, handle: ReplicaHandle, record: RaceAttempt
+    ) -> None:
+        self._drive = drive
+        self.index = index
+        self.handle = handle
+        self.record = record
+        self.connection: ExchangeConnection | None = None
+
+    def on_carried(self, connection: ExchangeConnection) -> None:
+        """Take the connection that carries the request."""
+        self.connection = connection
+
+    def on_reply(self, reply: ExchangeReply) -> None:
+        """Take a whole reply."""
+        self._drive.on_reply(self, reply)
+
+    def on_end(self, end: ExchangeEnd) -> None:
+        """Take that there will be no reply."""
+        self._drive.on_end(self, end)
+
+
+class ForwardDrive:
+    """One request under way."""
+
+    def __init__(
+        self,
+        tools: ForwardTools,
+        route: Route,
+        request: ForwardRequest,
+        services: tuple[str, ...],
+        times: DriveTimes,
+    ) -> None:
+        self._tools: Final = tools
+        self._route: Final = route
+        self._request: Final = request
+        self._times: Final = times
+        self._guide: Final = ServiceGuide(tools, route, times)
+        patient_until = times.started + PATIENCE_S
+        self._races: Final = [
+            AttemptRace(
+                service,
+                repeatable=route.repeatable,
+                most_runs=route.max_replicas if route.repeatable else 1,
+                patient_until=patient_until,
+                deadline=times.deadline,
+            )
+            for service in services
+        ]
+        self._next: Final = [times.deadline] * len(services)
+        self._out: Final[set[Attempt]] = set()
+        self._parts: Final[dict[str, tuple[str, bytes]]] = {}
+        self._lost = 0
+        self._reply: ExchangeReply | None = None
+        self._failure: ExchangeReply | None = None
+        self._detail = ""
+        self._timer: asyncio.TimerHandle | None = None
+        self._loop: Final = asyncio.get_running_loop()
+        self._done: Final[asyncio.Future[HttpResponse | Refusal]] = self._loop.create_future()
+        self._busy = False
+
+    async def run(self) -> HttpResponse | Refusal:
+        """Return the answer or the refusal; cancelling this ends all attempts."""
+        try:
+            self._busy = True
+            for index in range(len(self._races)):
+                self._step(index)
+            self._busy = False
+            self._settle()
+            return await self._done
+        except asyncio.CancelledError:
+            self._end_attempts("the caller went away")
+            raise
+        finally:
+            if self._timer is not None:
+                self._timer.cancel()
+            if self._out:
+                late = self._times.deadline + LINGER_S - self._tools.now()
+                self._loop.call_later(max(0.0, late), self._end_attempts, "nobody waits")
+
+    def on_reply(self, attempt: Attempt, reply: ExchangeReply) -> None:
+        """Take a whole reply of an attempt."""
+        now = self._tools.now()
+        self._out.discard(attempt)
+        self._guide.note_load(now, attempt.handle, reply)
+        verdict = classify(reply, self._request, self._tools.dialect)
+        if verdict is ReplyClass.FOREIGN and attempt.connection is not None:
+            attempt.connection.close()
+        elapsed_ms = (now - attempt.record.sent_at) * 1000
+        self._guide.note_reply(now, attempt, verdict, elapsed_ms, reply)
+        race = self._races[attempt.index]
+        if verdict is ReplyClass.ANSWER:
+            if race.state is not RaceState.WON:
+                race.answered(attempt.record)
+                self._take(race.service, reply)
+        else:
+            self._fail(now, attempt, verdict, reply)
+        self._advance(attempt.index)
+
+    def on_end(self, attempt: Attempt, end: ExchangeEnd) -> None:
+        """Take that an attempt gets no reply."""
+        now = self._tools.now()
+        self._out.discard(attempt)
+        self._guide.note_end(now, attempt, end)
+        known = AttemptEnd.MAY_HAVE_RUN
+        if end.kind is EndKind.NOT_SENT:
+            known = AttemptEnd.NOT_SENT
+        self._detail = f"{attempt.handle.replica.id}: {end.kind} {end.detail}"
+        self._races[attempt.index].ended(now, attempt.record, known, refused=False)
+        self._advance(attempt.index)
+
+    def _take(self, service: str, reply: ExchangeReply) -> None:
+        if self._route.shard_set is None:
+            self._reply = reply
+            return
+        signature = reply.header(self._tools.dialect.signature) or ""
+        self._parts[service] = (signature, reply.body)
+
+    def _fail(
+        self, now: float, attempt: Attempt, verdict: ReplyClass, reply: ExchangeReply
+    ) -> None:
+        race = self._races[attempt.index]
+        refused = verdict in (ReplyClass.REFUSED, ReplyClass.MISDIRECTED)
+        end = AttemptEnd.NOT_RUN if refused else AttemptEnd.RAN
+        if verdict is ReplyClass.FOREIGN:
+            end = AttemptEnd.MAY_HAVE_RUN
+        self._detail = f"{attempt.handle.replica.id}: {verdict} {reply.status}"
+        if verdict is ReplyClass.FINAL:
+            # The request is at fault, and each replica would say the same.
+            self._reply = reply
+            race.answered(attempt.record)
+            return
+        if verdict is ReplyClass.FAILURE:
+            self._failure = reply
+        race.ended(now, attempt.record, end, refused=verdict is ReplyClass.REFUSED)
+
+    def _advance(self, index: int) -> None:
+        if self._done.done() or self._busy:
+            return
+        self._busy = True
+        if self._races[index].state is RaceState.OPEN:
+            self._step(index)
+        self._busy = False
+        self._settle()
+
+    def _step(self, index: int) -> None:
+        """Let one race do what it has to do now."""
+        race = self._races[index]
+        while True:
+            now = self._tools.now()
+            step = race.step(now, self._guide)
+            if isinstance(step, SendTo):
+                self._send(now, index, step)
+                continue
+            if isinstance(step, GiveUp):
+                self._lost += 1
+                self._detail = self._detail or step.detail
+                self._next[index] = float("inf")
+            else:
+                self._next[index] = step.time
+            return
+
+    def _send(self, now: float, index: int, step: SendTo) -> None:
+        handle = self._guide.handle(step.replica)
+        record = self._races[index].sent(now, step.replica, self._guide)
+        attempt = Attempt(self, index, handle, record)
+        self._out.add(attempt)
+        self._guide.note_sent(now, attempt, step.reason)
+        left_ms = (self._times.deadline - now) * 1000
+        request = replica_request(
+            self._request, self._tools.dialect, replica=step.replica, left_ms=left_ms
+        )
+        connection = handle.pool.submit(request, attempt)
+        if connection is not None:
+            attempt.connection = connection
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        if self._done.done():
+            return
+        now = self._tools.now()
+        self._busy = True
+        for index, due in enumerate(self._next):
+            if due <= now and self._races[index].state is RaceState.OPEN:
+                self._step(index)
+        self._busy = False
+        self._settle()
+
+    def _settle(self) -> None:
+        """Answer where that is due, else wait for what is due next."""
+        if self._done.done():
+            return
+        now = self._tools.now()
+        outcome = self._outcome(now)
+        if outcome is not None:
+            self._done.set_result(outcome)
+            return
+        due = min(self._next)
+        if self._route.shard_set is not None and now < self._times.aim_cut:
+            due = min(due, self._times.aim_cut)
+        due = min(due, self._times.answer_by)
+        if self._timer is not None:
+            if self._timer.when() <= due + 0.0005:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_at(max(due, now), self._on_timer)
+
+    def _outcome(self, now: float) -> HttpResponse | Refusal | None:
+        if self._route.shard_set is None:
+            return self._plain_outcome(now)
+        if self._reply is not None:
+            return self._passed_on(self._reply)
+        asked, least = len(self._races), self._route.shard_set.least
+        verdict = parts_verdict(
+            asked=asked,
+            least=least,
+            parts=len(self._parts),
+            lost=self._lost,
+            aim_passed=now >= self._times.aim_cut,
+        )
+        if verdict is PartsVerdict.ANSWER:
+            return self._merged(self._route.shard_set.top)
+        if verdict is PartsVerdict.FAIL or now >= self._times.answer_by:
+            return self._refusal(now)
+        return None
+
+    def _plain_outcome(self, now: float) -> HttpResponse | Refusal | None:
+        if self._reply is not None:
+            return self._passed_on(self._reply)
+        if self._lost and self._failure is not None:
+            return self._passed_on(self._failure)
+        if self._lost or now >= self._times.answer_by:
+            return self._refusal(now)
+        return None
+
+    def _refusal(self, now: float) -> Refusal:
+        """Return why there is no answer, and whether any replica may have run the request."""
+        if not any(race.may_have_run for race in self._races):
+            return Refusal(
+                ErrorKind.NO_REPLICA,
+                self._detail,
+                RunState.NOT_RUN,
+                retry_after_ms=self._guide.retry_after_ms(now),
+            )
+        if now >= self._times.answer_by:
+            return Refusal(ErrorKind.DEADLINE_EXCEEDED, self._detail)
+        if self._route.shard_set is not None:
+            return Refusal(ErrorKind.INCOMPLETE, self._detail)
+        return Refusal(ErrorKind.CONNECTION_LOST, self._detail)
+
+    def _merged(self, top: int) -> HttpResponse:
+        dialect = self._tools.dialect
+        signatures = ", ".join(signature for signature, _ in self._parts.values())
+        absent = len(self._races) - len(self._parts)
+        headers = [
+            (b"content-type", b"application/octet-stream"),
+            (dialect.parts, signatures.encode("latin-1")),
+            (dialect.absent, b"%d" % absent),
+        ]
+        if self._request.request_id:
+            headers.append((dialect.request_id, self._request.request_id))
+        body = greatest((part for _, part in self._parts.values()), top)
+        return HttpResponse(status=200, body=body, raw_headers=tuple(headers))
+
+    def _passed_on(self, reply: ExchangeReply) -> HttpResponse:
+        return HttpResponse(
+            status=reply.status, body=reply.body, raw_headers=self._guide.end_to_end(reply)
+        )
+
+    def _end_attempts(self, why: str) -> None:
+        """End what is still out; closing its connection ends its work at the replica."""
+        now = self._tools.now()
+        for attempt in tuple(self._out):
+            self._out.discard(attempt)
+            elapsed_ms = (now - attempt.record.sent_at) * 1000
+            self._guide.note_given_up(now, attempt, elapsed_ms)
+            if attempt.connection is not None:
+                attempt.connection.forget()
+            else:
+                attempt.handle.pool.withdraw(attempt)
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -0,0 +1,206 @@
+"""All parts of forwarding on one VM, put together.
+
+Flow: `Forwarder` follows the catalogue, keeps the replica book and the front in step with it, and
+says when this VM is ready for callers. `open_forwarder` starts its task; its exit stack owns all
+that must be closed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from typing import Final
+
+import attrs
+
+from berylspindle_decisions.extra_share import ExtraBounds
+from berylspindle_forwarding.attempt_guide import ForwardTools
+from berylspindle_forwarding.catalogue import (
+    Catalogue,
+    CatalogueListener,
+    CatalogueReader,
+    Change,
+    OutChange,
+    ReplicaChange,
+    TableChange,
+    Unreadable,
+    VmChange,
+)
+from berylspindle_forwarding.dialect import Dialect
+from berylspindle_forwarding.front import Front
+from berylspindle_forwarding.replica_book import ColdBounds, ReplicaBook
+from berylspindle_forwarding.replica_pool import PoolOptions
+from berylspindle_model.errors import ErrorKind, Refusal
+from berylspindle_store.store import Store
+from berylspindle_telemetry import metric_names as names
+from berylspindle_telemetry.logs import logger
+from berylspindle_telemetry.metrics import Metrics
+from berylspindle_wire.http import HttpLimits
+
+
+@attrs.frozen(kw_only=True)
+class ForwardOptions:
+    """Settings of forwarding on one VM.
+
+    Attributes:
+        expected_vms: VMs that share budgets and connections while fewer are known.
+        extra: the bound on hedges and retries of all VMs together.
+        cold: the bound on requests to a cold replica.
+    """
+
+    vm: str
+    data_centre: str
+    expected_vms: int = 8
+    dialect: Dialect = attrs.field(factory=Dialect)
+    extra: ExtraBounds = attrs.field(factory=ExtraBounds)
+    cold: ColdBounds = attrs.field(factory=ColdBounds)
+    pool: PoolOptions = attrs.field(factory=PoolOptions)
+
+
+class Forwarder(CatalogueListener):
+    """Forwarding on one VM; made by `open_forwarder`."""
+
+    def __init__(
+        self, options: ForwardOptions, store: Store, reader: CatalogueReader, metrics: Metrics
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self._options: Final = options
+        self._metrics: Final = metrics
+        self._log: Final = logger("forwarding")
+        self._vms: dict[str, str] = {}
+        self._out: set[str] = set()
+        self._listed = False
+        self._shutting_down = False
+        self._store_reached: bool | None = None
+        self.table_version = 0
+        self.on_limits: Callable[[HttpLimits], None] = lambda limits: None
+        self.book: Final = ReplicaBook(
+            data_centre=options.data_centre,
+            now=loop.time,
+            u=random.random,
+            vms=self._vm_count,
+            pool_options=options.pool,
+            cold=options.cold,
+            on_opened=lambda: metrics.count(names.FORWARD_CONNECTIONS, reason="needed"),
+        )
+        self._tools: Final = ForwardTools(
+            book=self.book,
+            dialect=options.dialect,
+            metrics=metrics,
+            now=loop.time,
+            vms=self._vm_count,
+            bounds=options.extra,
+            started=loop.time(),
+        )
+        self.front: Final = Front(self._tools)
+        self._catalogue: Final = Catalogue(store, reader, self, now=loop.time, u=random.random)
+        metrics.gauge_function(names.REPLICAS_KNOWN, lambda: len(self.book))
+
+    @property
+    def dialect(self) -> Dialect:
+        """Return the names in use."""
+        return self._options.dialect
+
+    def unready(self) -> Refusal | None:
+        """Return why callers should not come here, or None where they may."""
+        if self._shutting_down:
+            return Refusal(ErrorKind.SHUTTING_DOWN)
+        if not self._listed or self.table_version == 0:
+            return Refusal(ErrorKind.NOT_READY)
+        return None
+
+    def begin_shutdown(self) -> None:
+        """Be unready; what still comes is served."""
+        self._shutting_down = True
+
+    async def run(self) -> None:
+        """Follow the catalogue until cancelled."""
+        await self._catalogue.run()
+
+    def on_change(self, change: Change) -> None:
+        """Take one change of the catalogue."""
+        if isinstance(change, TableChange):
+            self._set_table(change)
+        elif isinstance(change, ReplicaChange):
+            if change.replica is not None:
+                self.book.put(change.replica)
+            else:
+                self.book.remove(change.id)
+        elif isinstance(change, OutChange):
+            self._set_out(change)
+        elif isinstance(change, VmChange):
+            if change.address is not None:
+                self._vms[change.id] = change.address
+            else:
+                self._vms.pop(change.id, None)
+        else:
+            self._note_unreadable(change)
+
+    def on_listed(self) -> None:
+        """Take that all that there is has been told."""
+        self._listed = True
+
+    def on_store(self, reached: bool, detail: str) -> None:
+        """Take whether the store answers."""
+        if reached == self._store_reached:
+            return
+        self._store_reached = reached
+        self._metrics.gauge(names.STORE_AWAY, 0 if reached else 1)
+        if reached:
+            self._log.info("the store answers")
+        else:
+            self._log.warning("the store does not answer", extra={"detail": detail})
+
+    def _set_table(self, change: TableChange) -> None:
+        if change.table.version <= self.table_version:
+            return
+        self.table_version = change.table.version
+        self._metrics.gauge(names.ROUTING_VERSION, change.table.version)
+        self.book.set_table(change.table)
+        self.front.set_table(change.table)
+        limits = change.table.limits
+        self.on_limits(
+            HttpLimits(
+                header_bytes=limits.header_bytes,
+                body_bytes=limits.body_bytes,
+                read_timeout=limits.header_timeout,
+                idle_timeout=limits.idle_timeout,
+            )
+        )
+        self._log.info("routing table in force", extra={"version": change.table.version})
+
+    def _set_out(self, change: OutChange) -> None:
+        if change.is_out:
+            self._out.add(change.data_centre)
+        else:
+            self._out.discard(change.data_centre)
+        self.book.set_out(frozenset(self._out))
+
+    def _note_unreadable(self, change: Unreadable) -> None:
+        self._log.warning("entry names nothing", extra={"key": change.key, "reason": change.reason})
+
+    def _vm_count(self) -> int:
+        return max(len(self._vms), self._options.expected_vms)
+
+
+async def open_forwarder(
+    options: ForwardOptions,
+    *,
+    store: Store,
+    reader: CatalogueReader,
+    metrics: Metrics,
+    stack: AsyncExitStack,
+) -> Forwarder:
+    """Return a running forwarder, owned by `stack`."""
+    forwarder = Forwarder(options, store, reader, metrics)
+    stack.push_async_callback(forwarder.book.close)
+    task = asyncio.get_running_loop().create_task(forwarder.run())
+
+    async def stop() -> None:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    stack.push_async_callback(stop)
+    return forwarder
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -0,0 +1,142 @@
+"""The callers' edge of forwarded requests: a raw request in, an answer or a refusal out.
+
+Flow: `handle` looks the route up in the table in force, bounds the time, and has one `ForwardDrive`
+carry the request out. A refusal becomes a response by the one table of error kinds, with the time
+to come back as a header that may hold parts of a second.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+from berylspindle_decisions.answer_time import MARGIN_MS, NEW_CONNECTION_MS
+from berylspindle_decisions.weighted_turns import WeightedTurns
+from berylspindle_forwarding.attempt_guide import DriveTimes, ForwardTools
+from berylspindle_forwarding.drive import ForwardDrive
+from berylspindle_forwarding.request_head import ForwardRequest, read_forward
+from berylspindle_model.errors import ANSWERS, ErrorKind, Refusal
+from berylspindle_model.routing import Route, RoutingTable
+from berylspindle_telemetry import metric_names as names
+from berylspindle_wire.http import HttpRequest, HttpResponse
+
+ANSWER_MARGIN_MS: Final = 12.0
+"""Milliseconds before the deadline at which the last answer leaves; the way back takes 3 ms, and a
+busy turn of the loop some more."""
+
+NOT_READY_MS: Final = 200
+"""When a caller may come back to a VM that knows no routes yet; its start takes some tenths."""
+
+
+class Front:
+    """Answer callers' forwarded requests."""
+
+    def __init__(self, tools: ForwardTools) -> None:
+        self._tools: Final = tools
+        self._table: RoutingTable | None = None
+        self._turns: dict[str, tuple[Route, WeightedTurns]] = {}
+        self._in_flight = 0
+        self._idle: Final = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are under way."""
+        return self._in_flight
+
+    def set_table(self, table: RoutingTable) -> None:
+        """Serve by a new table from the next request on."""
+        self._table = table
+
+    async def drained(self) -> None:
+        """Wait until no request is under way."""
+        await self._idle.wait()
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        started = self._tools.now()
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            forward = read_forward(request, self._tools.dialect)
+            route = self._route(forward)
+            if isinstance(route, Refusal):
+                self._count("-", route.kind.value)
+                return refusal_reply(route, self._tools.dialect.request_id, forward.request_id)
+            outcome = await self._forward(route, forward, started, is_first=request.is_first)
+            self._tools.metrics.observe(
+                names.FORWARD_TIME, (self._tools.now() - started) * 1000, route=route.name
+            )
+            if isinstance(outcome, Refusal):
+                self._count(route.name, outcome.kind.value)
+                return refusal_reply(outcome, self._tools.dialect.request_id, forward.request_id)
+            self._count(route.name, str(outcome.status))
+            return outcome
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
+    def _route(self, forward: ForwardRequest) -> Route | Refusal:
+        if self._table is None:
+            return Refusal(ErrorKind.NOT_READY, retry_after_ms=NOT_READY_MS)
+        return self._table.find(forward.host, forward.path) or Refusal(ErrorKind.NOT_FOUND)
+
+    async def _forward(
+        self, route: Route, forward: ForwardRequest, started: float, *, is_first: bool
+    ) -> HttpResponse | Refusal:
+        services = self._services(route)
+        for service in services:
+            self._tools.share(service).on_request(started)
+        times = drive_times(route, forward, started, is_first=is_first)
+        return await ForwardDrive(self._tools, route, forward, services, times).run()
+
+    def _services(self, route: Route) -> tuple[str, ...]:
+        if route.shard_set is not None:
+            return route.shard_set.shards
+        if len(route.targets) == 1:
+            return (route.targets[0].service,)
+        known = self._turns.get(route.name)
+        if known is None or known[0].targets != route.targets:
+            known = self._turns[route.name] = (route, WeightedTurns(route.targets, random.random))
+        return (known[1].next(),)
+
+    def _count(self, route: str, result: str) -> None:
+        self._tools.metrics.count(names.FORWARD_REQUESTS, route=route, result=result)
+
+
+def drive_times(
+    route: Route, forward: ForwardRequest, started: float, *, is_first: bool
+) -> DriveTimes:
+    """Return the bounds of a request that has just been read."""
+    left_ms = float(route.timeout_ms)
+    if forward.left_ms is not None:
+        left_ms = min(left_ms, forward.left_ms)
+    margin_ms = MARGIN_MS + (NEW_CONNECTION_MS if is_first else 0.0)
+    return DriveTimes(
+        started=started,
+        aim_cut=started + max(1.0, route.aim_ms - margin_ms) / 1000,
+        deadline=started + left_ms / 1000,
+        answer_by=started + max(1.0, left_ms - ANSWER_MARGIN_MS) / 1000,
+    )
+
+
+def refusal_reply(refusal: Refusal, id_header: bytes, request_id: bytes) -> HttpResponse:
+    """Return the response that tells a caller of a refusal, with its own id for the request."""
+    headers: list[tuple[bytes, bytes]] = []
+    if request_id:
+        headers.append((id_header, request_id))
+    if refusal.retry_after is not None:
+        headers.append((b"retry-after", f"{refusal.retry_after / 1000:.3f}".encode()))
+    answer = ANSWERS[refusal.kind]
+    return HttpResponse(
+        status=answer.status,
+        body=f"{refusal.kind.value}: {answer.text}\n".encode(),
+        headers={"content-type": "text/plain"},
+        raw_headers=tuple(headers),
+    )
+
+
+Clock = Callable[[], float]
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/replica_book.py
@@ -0,0 +1,228 @@
+"""The replicas that this VM knows, by service, and which one an attempt goes to.
+
+Terms:
+  handle      one replica: what it announced, what this VM holds of it, its connections
+  usable      announced, not draining, and not in a data centre that is out
+  misplaced   a replica whose address answered as another one; unusable until it announces itself
+              anew
+  cold        a replica that bears only so many requests a second, of all VMs together
+
+Flow: `put`, `remove` and `set_out` follow the announcements; `pick` chooses for each attempt. What
+was learned of a replica lives as long as its address and its start stay the same.
+
+Guard: a cold replica falls over under a full load, also when eight VMs send "only a few" each. Each
+VM takes its part of the stated rate by the second, and less than its part where it does not know
+all others.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Final
+
+import attrs
+
+from berylspindle_decisions.replica_standing import STALLED, Standing
+from berylspindle_forwarding.replica_pool import PoolOptions, ReplicaPool
+from berylspindle_model.routing import Replica, RoutingTable
+
+CONNECTION_SHARE: Final = 0.9
+"""Part of a replica's connections that all VMs together use; the rest is for VMs that have just
+come and for connections that the replica has not yet seen end."""
+
+COLD_SHARE: Final = 0.75
+"""Part of what a cold replica bears that all VMs together send; the rest is for VMs that do not
+know of each other yet."""
+
+
+@attrs.frozen(kw_only=True)
+class ColdBounds:
+    """What all VMs together may send to a cold replica: rate times overshoot, and slack, a second."""
+
+    overshoot: float = 1.0
+    slack: float = 0.0
+
+
+class ReplicaHandle:
+    """One replica as this VM uses it."""
+
+    def __init__(self, replica: Replica, standing: Standing, pool: ReplicaPool) -> None:
+        self.replica = replica
+        self.standing: Final = standing
+        self.pool: Final = pool
+        self.is_misplaced = False
+        self.failures = 0
+        self._cold_sends: deque[float] = deque()
+
+    def note_cold_send(self, now: float) -> None:
+        """Count one request to a cold replica."""
+        self._cold_sends.append(now)
+
+    def cold_sends(self, now: float) -> int:
+        """Return how many requests went to it within the last second."""
+        while self._cold_sends and self._cold_sends[0] <= now - 1.0:
+            self._cold_sends.popleft()
+        return len(self._cold_sends)
+
+
+class ReplicaBook:
+    """All replicas that this VM knows."""
+
+    def __init__(
+        self,
+        *,
+        data_centre: str,
+        now: Callable[[], float],
+        u: Callable[[], float],
+        vms: Callable[[], int],
+        pool_options: PoolOptions,
+        cold: ColdBounds,
+        on_opened: Callable[[], None],
+    ) -> None:
+        self._data_centre: Final = data_centre
+        self._now: Final = now
+        self._u: Final = u
+        self._vms: Final = vms
+        self._pool_options: Final = pool_options
+        self._cold: Final = cold
+        self._on_opened: Final = on_opened
+        self._handles: dict[str, ReplicaHandle] = {}
+        self._usable: dict[str, tuple[ReplicaHandle, ...]] = {}
+        self._out: frozenset[str] = frozenset()
+        self._table: RoutingTable | None = None
+        self._closing: Final[set[asyncio.Task[None]]] = set()
+
+    def __len__(self) -> int:
+        return len(self._handles)
+
+    @property
+    def handles(self) -> Iterable[ReplicaHandle]:
+        """Return all handles."""
+        return self._handles.values()
+
+    def get(self, replica_id: str) -> ReplicaHandle | None:
+        """Return the handle of a replica."""
+        return self._handles.get(replica_id)
+
+    def put(self, replica: Replica) -> None:
+        """Take an announcement."""
+        now = self._now()
+        handle = self._handles.get(replica.id)
+        if handle is not None and not _same_process(handle.replica, replica):
+            self.remove(replica.id)
+            handle = None
+        if handle is None:
+            handle = self._open(replica)
+            self._handles[replica.id] = handle
+        handle.replica = replica
+        handle.is_misplaced = False
+        handle.standing.slots = max(1, replica.slots)
+        handle.standing.cold_until = now + replica.warmup_left_ms / 1000
+        self._usable.clear()
+
+    def remove(self, replica_id: str) -> None:
+        """Forget a replica; what is under way there is finished."""
+        handle = self._handles.pop(replica_id, None)
+        if handle is None:
+            return
+        self._usable.clear()
+        task = asyncio.get_running_loop().create_task(_finish(handle.pool))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    def set_out(self, data_centres: frozenset[str]) -> None:
+        """Send nothing to the replicas of these data centres."""
+        self._out = data_centres
+        self._usable.clear()
+
+    def set_table(self, table: RoutingTable) -> None:
+        """Follow the services' rules."""
+        self._table = table
+        for handle in self._handles.values():
+            handle.pool.limit = self._limit(handle.replica)
+
+    def usable(self, service: str) -> tuple[ReplicaHandle, ...]:
+        """Return the replicas of a service that may get requests."""
+        found = self._usable.get(service)
+        if found is None:
+            found = self._usable[service] = tuple(
+                handle
+                for handle in self._handles.values()
+                if handle.replica.service == service
+                and not handle.replica.draining
+                and not handle.is_misplaced
+                and handle.replica.data_centre not in self._out
+            )
+        return found
+
+    def pick(self, service: str, *, tried: frozenset[str], hedge: bool) -> ReplicaHandle | None:
+        """Return the replica of least cost that was not tried, or None.
+
+        A hedge only goes to a replica that answers just now: it would wait beside the first
+        attempt, and neither would come.
+        """
+        now, best, best_cost = self._now(), None, float("inf")
+        for handle in self.usable(service):
+            if handle.replica.id in tried or self._is_full(handle, now):
+                continue
+            cost = handle.standing.cost(now, u=self._u())
+            if cost < best_cost:
+                best, best_cost = handle, cost
+        if hedge and best_cost >= STALLED:
+            return None
+        return best
+
+    def set_misplaced(self, handle: ReplicaHandle) -> None:
+        """Send nothing to a replica whose address belongs to another one now."""
+        handle.is_misplaced = True
+        self._usable.clear()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for task in tuple(self._closing):
+            task.cancel()
+        await asyncio.gather(*self._closing, return_exceptions=True)
+        await asyncio.gather(*(handle.pool.close() for handle in self._handles.values()))
+
+    def _open(self, replica: Replica) -> ReplicaHandle:
+        standing = Standing(slots=replica.slots, is_local=replica.data_centre == self._data_centre)
+        pool = ReplicaPool(
+            replica.host,
+            replica.port,
+            limit=self._limit(replica),
+            options=self._pool_options,
+            on_opened=self._on_opened,
+        )
+        return ReplicaHandle(replica, standing, pool)
+
+    def _limit(self, replica: Replica) -> int:
+        most = self._table.rules(replica.service).max_connections if self._table else 8
+        return max(1, int(most * CONNECTION_SHARE / self._vms()))
+
+    def _is_full(self, handle: ReplicaHandle, now: float) -> bool:
+        """Tell whether a cold replica has had this VM's part of what it bears."""
+        if now >= handle.standing.cold_until or self._table is None:
+            return False
+        rate = self._table.rules(handle.replica.service).warmup_per_s
+        if rate is None:
+            return False
+        allowed = COLD_SHARE * (rate * self._cold.overshoot + self._cold.slack) / self._vms()
+        return handle.cold_sends(now) + 1 > max(1.0, allowed)
+
+
+async def _finish(pool: ReplicaPool) -> None:
+    """Let what is under way at a replica end before its connections are closed."""
+    while not pool.is_idle:
+        await asyncio.sleep(0.25)
+    await pool.close()
+
+
+def _same_process(one: Replica, other: Replica) -> bool:
+    return (one.service, one.host, one.port, one.born) == (
+        other.service,
+        other.host,
+        other.port,
+        other.born,
+    )
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/request_head.py
@@ -0,0 +1,88 @@
+"""What the edge reads out of a caller's request, and what goes on to a replica.
+
+Flow: `read_forward` checks the headers that the edge itself uses; `replica_request` writes the
+request anew for one replica, with the caller's method, target and body unchanged.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+from berylspindle_forwarding.dialect import HOP_HEADERS, Dialect
+from berylspindle_wire.exchange import ExchangeRequest
+from berylspindle_wire.http import HttpRequest
+
+MOST_MS: Final = 600_000
+
+
+@attrs.frozen(kw_only=True)
+class ForwardRequest:
+    """One caller's request.
+
+    Attributes:
+        request_id: the caller's name for this try, or empty.
+        left_ms: how long the caller still waits, or None where it does not say.
+        passed_on: its headers but those of the hop and those that are set anew.
+    """
+
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    request_id: bytes
+    left_ms: float | None
+    passed_on: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+def read_forward(request: HttpRequest, dialect: Dialect) -> ForwardRequest:
+    """Return what the edge needs of a request that was read raw."""
+    request_id, left_ms, host = b"", None, ""
+    passed_on: list[tuple[bytes, bytes]] = []
+    hop = set(HOP_HEADERS)
+    for name, value in request.raw_headers:
+        if name == b"connection":
+            # Headers that the connection header names concern this hop alone too.
+            hop |= {part.strip().lower() for part in value.split(b",")}
+    for name, value in request.raw_headers:
+        if name == dialect.time_left:
+            left_ms = _milliseconds(value)
+            continue
+        if name in hop or name == dialect.expected:
+            continue
+        if name == dialect.request_id:
+            request_id = value
+        elif name == b"host":
+            host = value.decode("latin-1").lower().rpartition(":")[0] or value.decode("latin-1")
+        passed_on.append((name, value))
+    return ForwardRequest(
+        method=request.method.encode("latin-1"),
+        target=request.target.encode("latin-1"),
+        host=host.lower(),
+        path=request.target.partition("?")[0],
+        request_id=request_id,
+        left_ms=left_ms,
+        passed_on=tuple(passed_on),
+        body=request.body,
+    )
+
+
+def replica_request(
+    request: ForwardRequest, dialect: Dialect, *, replica: str, left_ms: float
+) -> ExchangeRequest:
+    """Return the request as it goes to one replica, with the time that is left."""
+    headers = (
+        *request.passed_on,
+        (dialect.time_left, b"%d" % max(1, int(left_ms))),
+        (dialect.expected, replica.encode("latin-1")),
+    )
+    return ExchangeRequest(request.method, request.target, headers, request.body)
+
+
+def _milliseconds(value: bytes) -> float | None:
+    text = value.strip()
+    if not text.isdigit():
+        return None
+    return float(min(int(text), MOST_MS))
--- a/libs/telemetry/berylspindle_telemetry/metric_names.py
+++ b/libs/telemetry/berylspindle_telemetry/metric_names.py
@@ -153,3 +153,22 @@
 LOOP_LAG: Final = _summary("loop_lag", "how late a timer of the event loop fires")
 CPU_SECONDS: Final = _gauge("cpu_seconds", "processor time of this process since its start")
 RESIDENT_BYTES: Final = _gauge("resident_bytes", "greatest resident memory of this process")
+
+FORWARD_REQUESTS: Final = _counter(
+    "forward_requests", "Forwarded requests by what became of them.", "route", "result"
+)
+FORWARD_TIME: Final = _summary(
+    "forward_time", "Time from a forwarded request's arrival to its answer.", "route"
+)
+FORWARD_ATTEMPTS: Final = _counter(
+    "forward_attempts", "Attempts at replicas: first, hedge or retry.", "reason"
+)
+FORWARD_REPLIES: Final = _counter("forward_replies", "What came of attempts at replicas.", "kind")
+FORWARD_DENIED: Final = _counter(
+    "forward_denied", "Hedges and retries that the extra share did not allow.", "reason"
+)
+FORWARD_CONNECTIONS: Final = _counter(
+    "forward_connections", "Connections opened to replicas.", "reason"
+)
+REPLICAS_KNOWN: Final = _gauge("replicas_known", "Replicas announced to this VM.")
+ROUTING_VERSION: Final = _gauge("routing_version", "Version of the routing table in force.")
--- a/libs/wire/berylspindle_wire/http.py
+++ b/libs/wire/berylspindle_wire/http.py
@@ -40,23 +40,35 @@
 
 @attrs.frozen(kw_only=True)
 class HttpRequest:
-    """One request, read whole. `path` has no query; `query` holds the decoded parameters."""
+    """One request, read whole. `path` has no query; `query` holds the decoded parameters.
+
+    Where a server reads requests raw, to pass them on, nothing is decoded: `target` is the request
+    target as it came, `raw_headers` are all headers in order, `path` and `headers` stay empty.
+    """
 
     method: str
     path: str
     headers: dict[str, str] = attrs.field(factory=dict)
     query: dict[str, str] = attrs.field(factory=dict)
     body: bytes = b""
+    target: str = ""
+    raw_headers: tuple[tuple[bytes, bytes], ...] = ()
+    is_first: bool = True
+    """Whether it is the first request of its connection."""
 
 
 @attrs.frozen(kw_only=True)
 class HttpResponse:
-    """One response. `close` asks the server to close the connection after it."""
+    """One response. `close` asks the server to close the connection after it.
+
+    `raw_headers` are written as they are, before `headers`.
+    """
 
     status: int
     body: bytes = b""
     headers: dict[str, str] = attrs.field(factory=dict)
     close: bool = False
+    raw_headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
--- a/libs/wire/berylspindle_wire/http_client.py
+++ b/libs/wire/berylspindle_wire/http_client.py
@@ -15,7 +15,6 @@
 
 import asyncio
 import enum
-import select
 import ssl
 from typing import Final, cast
 from urllib.parse import quote, urlencode
@@ -24,9 +23,9 @@
 
 from berylspindle_wire.http import HttpLimits, HttpRequest, HttpResponse
 from berylspindle_wire.http_head import HEAD_END, framing_fault
+from berylspindle_wire.sockets import has_ended
 
 _MOST_INFORMATIONAL: Final = 8
-_ENDED: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 _PATH_SAFE: Final = "/:@!$&'()*+,;=~"
 
 
@@ -97,16 +96,8 @@
         return self._requests
 
     def peer_has_ended(self) -> bool:
-        """Ask the kernel whether the peer has closed or reset the connection.
-
-        Guards against a request written into a connection whose end lies in the kernel unread, as
-        after a busy turn of the loop: it would count as "may have run", though no server could see
-        it, and what may not be repeated would be lost. Only an end that is on its way still gets
-        by.
-        """
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), _ENDED)
-        return bool(poll.poll(0))
+        """Ask the kernel whether the peer has ended the connection, though nobody looked yet."""
+        return has_ended(self._transport.get_extra_info("socket"))
 
     async def request(
         self, request: HttpRequest, *, timeout: float, progress_timeout: float | None = None
--- a/libs/wire/berylspindle_wire/http_head.py
+++ b/libs/wire/berylspindle_wire/http_head.py
@@ -98,6 +98,16 @@
     )
 
 
+def read_raw_head(event: h11.Request) -> HttpRequest:
+    """Return a request that is to be passed on: nothing of it is decoded, joined or refused."""
+    return HttpRequest(
+        method=event.method.decode("latin-1"),
+        path="",
+        target=event.target.decode("latin-1"),
+        raw_headers=tuple(event.headers),
+    )
+
+
 def _origin_form(target: str, host: str) -> str:
     """Return path and query of a target that isn't in origin form ("*" or a whole URL)."""
     if target == "*":
--- a/libs/wire/berylspindle_wire/http_server.py
+++ b/libs/wire/berylspindle_wire/http_server.py
@@ -19,8 +19,13 @@
 from types import TracebackType
 from typing import Final
 
+import h11
+
+from berylspindle_model.errors import Refusal
 from berylspindle_wire.acceptor import Acceptor, listen
-from berylspindle_wire.http import Handler, HttpLimits
+from berylspindle_wire.http import Handler, HttpLimits, HttpRequest, HttpResponse
+from berylspindle_wire.http_errors import refusal_response
+from berylspindle_wire.http_head import read_head
 from berylspindle_wire.http_session import Admission, HttpSession, SessionRules
 
 DRAIN_IDLE: Final = 0.25
@@ -69,6 +74,10 @@
         """Return how many requests are with the handler."""
         return sum(session.is_handling for session in self._sessions)
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Change the bounds; what connections hold of the old ones ends with them."""
+        self._rules.limits = limits
+
     def begin_drain(self) -> None:
         """Ask peers to go: `Connection: close` from now on, idle connections closed soon."""
         self._rules.draining = True
@@ -154,12 +163,18 @@
     limits: HttpLimits = HttpLimits(),  # noqa: B008
     tls: ssl.SSLContext | None = None,
     on_fault: OnFault = _ignore,
+    read: Callable[[h11.Request], HttpRequest] = read_head,
+    refuse: Callable[[Refusal], HttpResponse] = refusal_response,
 ) -> HttpServer:
     """Listen on host and port and call `handler` for each request.
 
     `on_fault` is told of every exception of the handler that isn't a RefusalError; the caller is
-    answered INTERNAL. Raises OSError where the address can't be bound.
+    answered INTERNAL. `read` and `refuse` are as in `SessionRules`. Raises OSError where the
+    address can't be bound.
     """
-    server = HttpServer(SessionRules(handler=handler, limits=limits, on_fault=on_fault))
+    rules = SessionRules(
+        handler=handler, limits=limits, on_fault=on_fault, read=read, refuse=refuse
+    )
+    server = HttpServer(rules)
     await server._listen(host, port, tls)
     return server
--- a/libs/wire/berylspindle_wire/http_session.py
+++ b/libs/wire/berylspindle_wire/http_session.py
@@ -14,7 +14,6 @@
 
 import asyncio
 import enum
-import select
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final, cast
@@ -33,6 +32,7 @@
     illegal_bytes,
     read_head,
 )
+from berylspindle_wire.sockets import has_input
 
 LINGER: Final = 1.0
 """Seconds for which input is read and dropped after a last response. A close with unread input, as
@@ -48,12 +48,17 @@
 
 @attrs.define(kw_only=True)
 class SessionRules:
-    """What all sessions of one server share; `draining` changes once, from False to True."""
+    """What all sessions of one server share; `draining` changes once, from False to True.
+
+    `read` turns a parsed head into a request, `refuse` a refusal into a response.
+    """
 
     handler: Handler
     limits: HttpLimits
     on_fault: Callable[[BaseException], None]
     draining: bool = False
+    read: Callable[[h11.Request], HttpRequest] = read_head
+    refuse: Callable[[Refusal], HttpResponse] = refusal_response
 
 
 def _older(since: float | None, now: float, bound: float) -> bool:
@@ -97,6 +102,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._is_head = False
+        self._is_first = True
         self._peer_gone = False
         self._lost = False
         self._discarding = False
@@ -178,9 +184,7 @@
         """
         if self._buffer:
             return True
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return has_input(self._transport.get_extra_info("socket"))
 
     def _note_progress(self, now: float) -> None:
         """Restart the time of a response that its peer is still reading, however slowly."""
@@ -227,9 +231,9 @@
             # over. The handler may have sent work on before it was cancelled; a request that is
             # still being read has not run.
             if self._handling and not self._peer_gone:
-                self._write(refusal_response(_STOPPED), close=True)
+                self._write(self._rules.refuse(_STOPPED), close=True)
             elif self._reading_since is not None and not self._peer_gone:
-                self._write(refusal_response(Refusal(ErrorKind.SHUTTING_DOWN)), close=True)
+                self._write(self._rules.refuse(Refusal(ErrorKind.SHUTTING_DOWN)), close=True)
         except Exception as error:
             self._rules.on_fault(error)
         finally:
@@ -255,7 +259,7 @@
         try:
             return await self._rules.handler(request)
         except RefusalError as error:
-            return refusal_response(error.refusal)
+            return self._rules.refuse(error.refusal)
         except asyncio.CancelledError as error:
             if self._task is None or self._task.cancelling():
                 raise
@@ -263,7 +267,7 @@
             self._rules.on_fault(error)
         except Exception as error:
             self._rules.on_fault(error)
-        return refusal_response(Refusal(ErrorKind.INTERNAL))
+        return self._rules.refuse(Refusal(ErrorKind.INTERNAL))
 
     async def _more(self) -> None:
         """Wait for more input; raise what ends the wait instead."""
@@ -292,13 +296,16 @@
             if not isinstance(event, h11.Request):
                 raise bad_request("no request")
             self._is_head = event.method == b"HEAD"
-            request = read_head(event)
-            body = await self._read_body(request)
+            request = self._rules.read(event)
+            body = await self._read_body(event)
         except h11.RemoteProtocolError as error:
             # The parser's own text quotes the request, which must not be echoed.
             raise bad_request("the request is not valid HTTP") from error
         self._reading_since = None
-        return attrs.evolve(request, body=body) if body else request
+        is_first, self._is_first = self._is_first, False
+        if body or not is_first:
+            return attrs.evolve(request, body=body, is_first=is_first)
+        return request
 
     async def _read_head(self) -> bytes:
         limit = self._rules.limits.header_bytes
@@ -319,10 +326,11 @@
                 raise bad_request("illegal character in the headers")
             await self._more()
 
-    async def _read_body(self, request: HttpRequest) -> bytes:
+    async def _read_body(self, head: h11.Request) -> bytes:
         limit = self._rules.limits.body_bytes
-        if int(request.headers.get("content-length", "0")) > limit:
-            raise RequestFault(Refusal(ErrorKind.BODY_TOO_LARGE))
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > limit:
+                raise RequestFault(Refusal(ErrorKind.BODY_TOO_LARGE))
         parts: list[bytes] = []
         size = 0
         while True:
@@ -369,18 +377,19 @@
         if self._lost:
             return False
         body = b"" if response.status in _BODILESS else response.body
-        headers = list(response.headers.items())
+        headers: list[tuple[bytes, bytes]] = list(response.raw_headers)
+        headers += [(n.encode("latin-1"), v.encode("latin-1")) for n, v in response.headers.items()]
         if response.status not in _BODILESS:
-            headers.append(("content-length", str(len(body))))
+            headers.append((b"content-length", b"%d" % len(body)))
         if close:
-            headers.append(("connection", "close"))
+            headers.append((b"connection", b"close"))
         reason = _REASONS.get(response.status, b"")
         try:
             head = h11.Response(status_code=response.status, headers=headers, reason=reason)
         except h11.LocalProtocolError as error:
             # A header of the handler's is illegal. The parser has seen nothing of it yet.
             self._rules.on_fault(error)
-            return self._write(refusal_response(Refusal(ErrorKind.INTERNAL)), close=close)
+            return self._write(self._rules.refuse(Refusal(ErrorKind.INTERNAL)), close=close)
         self._transport.write(self._encode(head, body))
         return True
 
@@ -393,7 +402,7 @@
 
     async def _give_up(self, refusal: Refusal) -> None:
         """Answer with a refusal, then close."""
-        if not self._peer_gone and self._write(refusal_response(refusal), close=True):
+        if not self._peer_gone and self._write(self._rules.refuse(refusal), close=True):
             await self._linger()
 
     async def _linger(self) -> None:
