Tell refused and late requests, and replicas that come and go, in the log

Change: a request that was refused or late gets one line with its steps; each announcement gets one.

--- a/libs/forwarding/berylspindle_forwarding/drive.py
+++ b/libs/forwarding/berylspindle_forwarding/drive.py
@@ -32,6 +32,7 @@
 from berylspindle_forwarding.replica_book import ReplicaHandle
 from berylspindle_forwarding.reply_check import ReplyClass, classify
 from berylspindle_forwarding.request_head import ForwardRequest, replica_request
+from berylspindle_forwarding.request_story import RequestStory
 from berylspindle_model.errors import ErrorKind, Refusal, RunState
 from berylspindle_model.routing import Route
 from berylspindle_wire.exchange import (
@@ -114,6 +115,7 @@
         self._failure: ExchangeReply | None = None
         self._detail = ""
         self._timer: asyncio.TimerHandle | None = None
+        self.story: Final = RequestStory(times.started)
         self._loop: Final = asyncio.get_running_loop()
         self._done: Final[asyncio.Future[HttpResponse | Refusal]] = self._loop.create_future()
         self._busy = False
@@ -146,6 +148,8 @@
         if verdict is ReplyClass.FOREIGN and attempt.connection is not None:
             attempt.connection.close()
         elapsed_ms = (now - attempt.record.sent_at) * 1000
+        if not self._done.done():
+            self.story.replied(now, attempt.handle.replica.id, verdict.value, reply.status)
         self._guide.note_reply(now, attempt, verdict, elapsed_ms, reply)
         race = self._races[attempt.index]
         if verdict is ReplyClass.ANSWER:
@@ -165,6 +169,8 @@
         if end.kind is EndKind.NOT_SENT:
             known = AttemptEnd.NOT_SENT
         self._detail = f"{attempt.handle.replica.id}: {end.kind} {end.detail}"
+        if not self._done.done():
+            self.story.ended(now, attempt.handle.replica.id, end)
         self._races[attempt.index].ended(now, attempt.record, known, refused=False)
         self._advance(attempt.index)
 
@@ -213,6 +219,7 @@
                 continue
             if isinstance(step, GiveUp):
                 self._lost += 1
+                self.story.lost(now, race.service, step.detail)
                 self._detail = self._detail or step.detail
                 self._next[index] = float("inf")
             else:
@@ -224,6 +231,7 @@
         record = self._races[index].sent(now, step.replica, self._guide)
         attempt = Attempt(self, index, handle, record)
         self._out.add(attempt)
+        self.story.sent(now, handle, step.reason)
         self._guide.note_sent(now, attempt, step.reason)
         left_ms = (self._times.deadline - now) * 1000
         request = replica_request(
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -124,10 +124,7 @@
         if isinstance(change, TableChange):
             self._set_table(change)
         elif isinstance(change, ReplicaChange):
-            if change.replica is not None:
-                self.book.put(change.replica)
-            else:
-                self.book.remove(change.id)
+            self._take_replica(change)
         elif isinstance(change, OutChange):
             self._set_out(change)
         elif isinstance(change, VmChange):
@@ -171,6 +168,25 @@
         )
         self._log.info("routing table in force", extra={"version": change.table.version})
 
+    def _take_replica(self, change: ReplicaChange) -> None:
+        replica = change.replica
+        if replica is None:
+            self.book.remove(change.id)
+            self._log.info("replica gone", extra={"replica": change.id})
+            return
+        self.book.put(replica)
+        self._log.info(
+            "replica announced",
+            extra={
+                "replica": replica.id,
+                "service": replica.service,
+                "data_centre": replica.data_centre,
+                "address": f"{replica.host}:{replica.port}",
+                "draining": replica.draining,
+                "warmup_left_ms": replica.warmup_left_ms,
+            },
+        )
+
     def _set_out(self, change: OutChange) -> None:
         if change.is_out:
             self._out.add(change.data_centre)
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -20,6 +20,7 @@
 from berylspindle_model.errors import ANSWERS, ErrorKind, Refusal
 from berylspindle_model.routing import Route, RoutingTable
 from berylspindle_telemetry import metric_names as names
+from berylspindle_telemetry.logs import logger
 from berylspindle_wire.http import HttpRequest, HttpResponse
 
 ANSWER_MARGIN_MS: Final = 12.0
@@ -38,6 +39,7 @@
         self._table: RoutingTable | None = None
         self._turns: dict[str, tuple[Route, WeightedTurns]] = {}
         self._in_flight = 0
+        self._log: Final = logger("request")
         self._idle: Final = asyncio.Event()
         self._idle.set()
 
@@ -65,10 +67,11 @@
             if isinstance(route, Refusal):
                 self._count("-", route.kind.value)
                 return refusal_reply(route, self._tools.dialect.request_id, forward.request_id)
-            outcome = await self._forward(route, forward, started, is_first=request.is_first)
-            self._tools.metrics.observe(
-                names.FORWARD_TIME, (self._tools.now() - started) * 1000, route=route.name
-            )
+            drive = self._drive(route, forward, started, is_first=request.is_first)
+            outcome = await drive.run()
+            elapsed_ms = (self._tools.now() - started) * 1000
+            self._tools.metrics.observe(names.FORWARD_TIME, elapsed_ms, route=route.name)
+            self._tell(route, forward, drive, outcome, elapsed_ms)
             if isinstance(outcome, Refusal):
                 self._count(route.name, outcome.kind.value)
                 return refusal_reply(outcome, self._tools.dialect.request_id, forward.request_id)
@@ -84,14 +87,39 @@
             return Refusal(ErrorKind.NOT_READY, retry_after_ms=NOT_READY_MS)
         return self._table.find(forward.host, forward.path) or Refusal(ErrorKind.NOT_FOUND)
 
-    async def _forward(
+    def _drive(
         self, route: Route, forward: ForwardRequest, started: float, *, is_first: bool
-    ) -> HttpResponse | Refusal:
+    ) -> ForwardDrive:
         services = self._services(route)
         for service in services:
             self._tools.share(service).on_request(started)
         times = drive_times(route, forward, started, is_first=is_first)
-        return await ForwardDrive(self._tools, route, forward, services, times).run()
+        return ForwardDrive(self._tools, route, forward, services, times)
+
+    def _tell(
+        self,
+        route: Route,
+        forward: ForwardRequest,
+        drive: ForwardDrive,
+        outcome: HttpResponse | Refusal,
+        elapsed_ms: float,
+    ) -> None:
+        """Write a line of the log for a request that was refused, failed or late."""
+        refused = isinstance(outcome, Refusal)
+        if not refused and elapsed_ms <= route.aim_ms:
+            return
+        self._log.info(
+            "refused" if isinstance(outcome, Refusal) else "late",
+            extra={
+                "request": forward.request_id.decode("latin-1"),
+                "route": route.name,
+                "result": outcome.kind.value if isinstance(outcome, Refusal) else outcome.status,
+                "ms": f"{elapsed_ms:.1f}",
+                "left_ms": forward.left_ms,
+                "aim_ms": route.aim_ms,
+                "steps": drive.story.told(),
+            },
+        )
 
     def _services(self, route: Route) -> tuple[str, ...]:
         if route.shard_set is not None:
