--- a/Makefile
+++ b/Makefile
@@ -10,22 +10,22 @@
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml)
+$(STAMP): constraints.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
-	$(BIN)/pip install -q --no-build-isolation -c constraints.txt --config-settings editable_mode=compat $(foreach lib,$(LIBS),-e libs/$(lib))
+	$(BIN)/pip install -q --no-build-isolation -c constraints.txt --config-settings editable_mode=compat $(foreach lib,$(LIBS),-e libs/$(lib)) -e platform
 	touch $(STAMP)
 
 format: setup
-	$(BIN)/black -q libs tests
-	$(BIN)/ruff check -q --fix libs tests
+	$(BIN)/black -q libs platform tests
+	$(BIN)/ruff check -q --fix libs platform tests
 
 check: setup
-	$(BIN)/black -q --check libs tests
-	$(BIN)/ruff check -q libs tests
+	$(BIN)/black -q --check libs platform tests
+	$(BIN)/ruff check -q libs platform tests
 
 types: setup
-	$(BIN)/mypy $(foreach lib,$(LIBS),-p berylspindle_$(lib))
+	$(BIN)/mypy $(foreach lib,$(LIBS) adapter,-p berylspindle_$(lib))
 
 contracts: setup
 	$(BIN)/lint-imports --no-cache
--- a/libs/controlplane/berylspindle_controlplane/joiner.py
+++ b/libs/controlplane/berylspindle_controlplane/joiner.py
@@ -4,7 +4,7 @@
   seeds    addresses of a few VMs from the settings, asked first by a VM that knows nobody
 
 Flow: `learn` asks the store and, while it is away, seeds and listed VMs; `join_forever` asks a
-member to gather this VM with others into one change of the view, or changes it itself.
+member to collect this VM with others into one change of the view, or changes it itself.
 What it guards against: a VM that was held dead while it was paused finds itself out of the view
 when it wakes; it joins again as a member of a new epoch, with none of its old rights.
 """
@@ -30,7 +30,7 @@
 from berylspindle_store.vm_list import VmList, VmRole
 
 # Joins of other VMs that arrive within this time share one change of the view.
-GATHER: Final = 0.1
+COLLECT: Final = 0.1
 _MAX_SEEDS: Final = 5
 # Joins go to the same few members, so that they meet there.
 _JOIN_MEMBERS: Final = 2
@@ -111,7 +111,7 @@
     async def answer_join(self, payload: bytes) -> bytes:
         """Add the VM that asks, together with others that ask now; return all that is known."""
         vm = codec.from_pack(payload, Vm)
-        await asyncio.sleep(GATHER)
+        await asyncio.sleep(COLLECT)
         if vm.data_centre == self._me.data_centre and not self._leaving:
             await self._keeper.submit(Join(vm))
         nothing = PullRequest(sender=vm.id, revision=0, epochs={})
@@ -125,7 +125,7 @@
         now = asyncio.get_running_loop().time()
         if self._out_since is None:
             self._out_since = now
-        # One member gathers the joins of many VMs into one swap: a data centre that starts at
+        # One member collects the joins of many VMs into one swap: a data centre that starts at
         # once would else race itself for each epoch.
         members = self._members()
         if members:
--- a/libs/decisions/berylspindle_decisions/attempt_race.py
+++ b/libs/decisions/berylspindle_decisions/attempt_race.py
@@ -188,6 +188,9 @@
             self._pause = min(PAUSE_MOST, 2 * self._pause)
 
     def _step_hedge(self, now: float, guide: RaceGuide, runs: int) -> RaceStep:
+        if now >= self._deadline:
+            # Nothing more goes out; whoever waits for the race ends it.
+            return WaitUntil(math.inf)
         if not self._repeatable or runs >= self._most_runs:
             return WaitUntil(self._deadline)
         if now < self._hedge_at:
--- a/libs/decisions/berylspindle_decisions/replica_standing.py
+++ b/libs/decisions/berylspindle_decisions/replica_standing.py
@@ -124,7 +124,7 @@
         self._load_at = now
 
     def told_stalled(self, until: float) -> None:
-        """Take from another VM that the replica answers nothing; ends by itself, or by an answer."""
+        """Take from another VM that the replica answers nothing; ends by itself or by an answer."""
         self._stalled_until = max(self._stalled_until, until)
 
     def cost(self, now: float, *, u: float) -> float:
--- a/libs/forwarding/berylspindle_forwarding/attempt_guide.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_guide.py
@@ -150,7 +150,7 @@
         elif verdict is ReplyClass.REFUSED:
             standing.refused(now, attempt)
         elif verdict is ReplyClass.MISDIRECTED:
-            standing.refused(now, attempt)
+            standing.withdrawn(attempt)
             self._tools.book.set_misplaced(attempt.handle)
         else:
             standing.failed(now, attempt)
--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -29,10 +29,10 @@
 WATCH_S: Final = 28.0
 """Seconds that a watch waits: the longest that the store takes, less its way there."""
 
-GATHER_S: Final = 0.25
-"""Seconds between the answer to a watch and the next one, in which changes gather: each call to the
-store costs, and a release changes tens of entries one by one. The bounds on following a change are
-ten times as long."""
+COLLECT_S: Final = 0.25
+"""Seconds between the answer to a watch and the next one, in which changes collect: each call to
+the store costs, and a release changes tens of entries one by one. The bounds on following a change
+are ten times as long."""
 
 SETTLE_S: Final = 2.5
 RETRY_FIRST_S: Final = 0.2
@@ -151,7 +151,7 @@
                 pause = min(RETRY_MOST_S, 2 * pause)
                 continue
             pause = RETRY_FIRST_S
-            await asyncio.sleep(GATHER_S)
+            await asyncio.sleep(COLLECT_S)
 
     async def _list(self) -> int:
         revision: int | None = None
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -183,7 +183,7 @@
                 "data_centre": replica.data_centre,
                 "address": f"{replica.host}:{replica.port}",
                 "draining": replica.draining,
-                "warmup_left_ms": replica.warmup_left_ms,
+                "cold_ms": replica.cold_ms,
             },
         )
 
--- a/libs/forwarding/berylspindle_forwarding/replica_book.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_book.py
@@ -39,7 +39,7 @@
 
 @attrs.frozen(kw_only=True)
 class ColdBounds:
-    """What all VMs together may send to a cold replica: rate times overshoot, and slack, a second."""
+    """What all VMs together may send to a cold replica a second: rate by overshoot, and slack."""
 
     overshoot: float = 1.0
     slack: float = 0.0
@@ -119,7 +119,7 @@
         handle.replica = replica
         handle.is_misplaced = False
         handle.standing.slots = max(1, replica.slots)
-        handle.standing.cold_until = now + replica.warmup_left_ms / 1000
+        handle.standing.cold_until = now + replica.cold_ms / 1000
         self._usable.clear()
 
     def remove(self, replica_id: str) -> None:
@@ -205,7 +205,7 @@
         """Tell whether a cold replica has had this VM's part of what it bears."""
         if now >= handle.standing.cold_until or self._table is None:
             return False
-        rate = self._table.rules(handle.replica.service).warmup_per_s
+        rate = self._table.rules(handle.replica.service).cold_rate
         if rate is None:
             return False
         allowed = COLD_SHARE * (rate * self._cold.overshoot + self._cold.slack) / self._vms()
@@ -214,7 +214,8 @@
 
 async def _finish(pool: ReplicaPool) -> None:
     """Let what is under way at a replica end before its connections are closed."""
-    while not pool.is_idle:
+    # Seldom and unhurried, so that a look now and then costs less than telling of each end.
+    while not pool.is_idle:  # noqa: ASYNC110
         await asyncio.sleep(0.25)
     await pool.close()
 
--- a/libs/model/berylspindle_model/routing.py
+++ b/libs/model/berylspindle_model/routing.py
@@ -91,16 +91,16 @@
 
     Attributes:
         max_connections: connections that one replica takes, of all callers together.
-        warmup_s: seconds for which a replica is cold after its start.
-        warmup_per_s: requests a second that a cold replica bears, of all callers together; None
+        cold_s: seconds for which a replica is cold after its start.
+        cold_rate: requests a second that a cold replica bears, of all callers together; None
             where no rate is stated.
     """
 
     name: str
     health_path: str = "/health"
     max_connections: int = 25
-    warmup_s: float = 0.0
-    warmup_per_s: float | None = None
+    cold_s: float = 0.0
+    cold_rate: float | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -121,7 +121,7 @@
         id: its name, which requests to it carry.
         born: when it started, in milliseconds of its own clock, or None where it does not say; a
             replica that starts again under its id has another one.
-        warmup_left_ms: how much longer it is cold, as of the announcement.
+        cold_ms: how much longer it is cold, as of the announcement.
     """
 
     id: str
@@ -131,7 +131,7 @@
     data_centre: str
     slots: int = 1
     draining: bool = False
-    warmup_left_ms: float = 0.0
+    cold_ms: float = 0.0
     born: int | None = None
 
 
--- /dev/null
+++ b/tests/decisions/test_load_forwarding.py
@@ -0,0 +1,220 @@
+"""The decisions of forwarding under load: standing, extra shares, hedge delays, parts."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given, settings
+
+from berylspindle_decisions.answer_time import PartsVerdict, hedge_times, parts_verdict
+from berylspindle_decisions.extra_share import ExtraBounds, ExtraShare
+from berylspindle_decisions.latency_profile import LatencyProfile
+from berylspindle_decisions.record_merge import greatest
+from berylspindle_decisions.replica_standing import STALLED, Standing
+from berylspindle_decisions.weighted_turns import WeightedTurns
+from berylspindle_model.routing import RECORD_BYTES, ShardSet, WeightedService
+
+BOUNDS = ExtraBounds(ratio=0.2, slack=56.0, window=10.0)
+
+
+def standing(**changes) -> Standing:
+    return Standing(**{"slots": 3, "is_local": False, **changes})
+
+
+def test_one_slow_replica_stops_mattering_within_a_second() -> None:
+    """Each search waits for the one replica of a shard that has turned ten times as slow.
+
+    Eight searches a second choose between it and two sound ones; its answers take ten times as
+    long, so that only few of them can have told of it within the first second.
+    """
+    replicas = [standing() for _ in range(3)]
+    dice = random.Random(1)
+    chosen = [0, 0, 0]
+    now, ends = 0.0, []
+    for number in range(160):
+        now = number / 8
+        for due, index, attempt, ratio in sorted(e for e in ends if e[0] <= now):
+            replicas[index].answered(due, attempt, ratio=ratio)
+        ends = [e for e in ends if e[0] > now]
+        index = min(range(3), key=lambda i: replicas[i].cost(now, u=dice.random()))
+        if now >= 1.0:
+            chosen[index] += 1
+        ratio = 10.0 if index == 0 else 1.0
+        replicas[index].sent(number, late_at=now + 0.05)
+        ends.append((now + 0.02 * ratio, index, number, ratio))
+    assert chosen[0] <= 8
+    assert min(chosen[1:]) >= 40
+
+
+def test_a_stalled_replica_gets_work_only_where_all_others_are_stalled() -> None:
+    paused, other = standing(is_local=True), standing()
+    paused.sent("a", late_at=0.05)
+    assert paused.cost(0.04, u=0.5) < other.cost(0.04, u=0.5)
+    assert paused.cost(0.06, u=0.5) >= STALLED > other.cost(0.06, u=0.5)
+    paused.answered(0.1, "a", ratio=5.0)
+    assert not paused.is_stalled(0.1)
+
+
+def test_a_replica_that_refuses_again_and_again_is_asked_ever_less() -> None:
+    """A replica that sheds costs each search an arrival and a round trip."""
+    replica = standing()
+    now, asked = 0.0, []
+    while now < 10.0:
+        if not replica.is_held_off(now):
+            asked.append(now)
+            replica.sent("a", late_at=now + 1)
+            replica.refused(now, "a")
+        now += 0.01
+    assert len(asked) <= 9
+    assert asked[1] - asked[0] < 0.2
+    assert asked[-1] - asked[-2] > 2.0
+
+
+def test_a_replica_s_own_report_of_waiting_work_sends_requests_elsewhere_while_it_is_fresh() -> (
+    None
+):
+    busy, free = standing(), standing()
+    busy.reported(1.0, running=3, waiting=6, slots=3)
+    assert busy.cost(1.1, u=0.5) > 2 * free.cost(1.1, u=0.5)
+    assert busy.cost(1.5, u=0.5) == free.cost(1.5, u=0.5)
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=60)
+@given(
+    seed=st.integers(0, 10_000),
+    vms=st.integers(1, 12),
+    rate=st.floats(1, 60),
+    bad=st.floats(0, 1),
+)
+def test_all_vms_together_stay_within_the_bound_in_every_window(
+    seed: int, vms: int, rate: float, bad: float
+) -> None:
+    """Eight VMs that hedge each on its own send a service twice its load while it is in trouble.
+
+    Requests come unevenly, each wants an extra with some probability or two, and every span of ten
+    seconds is looked at.
+    """
+    dice = random.Random(seed)
+    shares = [ExtraShare(BOUNDS, started=0.0) for _ in range(vms)]
+    weights = [dice.random() + 0.1 for _ in range(vms)]
+    requests, extras = [], []
+    now = 0.0
+    while now < 30.0:
+        now += dice.expovariate(rate)
+        share = dice.choices(shares, weights)[0]
+        share.on_request(now)
+        requests.append(now)
+        for _ in range(2):
+            if dice.random() < bad and share.may_take(now, vms=vms, hedge=dice.random() < 0.5):
+                share.take(now)
+                extras.append(now)
+    for start in (x / 4 for x in range(84)):
+        end = start + BOUNDS.window
+        asked = sum(start <= t < end for t in requests)
+        spent = sum(start <= t < end for t in extras)
+        assert spent <= BOUNDS.ratio * asked + BOUNDS.slack + 1
+
+
+def test_hedges_leave_a_part_of_the_share_for_what_has_failed() -> None:
+    share = ExtraShare(BOUNDS, started=-60.0)
+    for _ in range(100):
+        share.on_request(0.0)
+    while share.may_take(0.0, vms=8, hedge=True):
+        share.take(0.0)
+    assert share.may_take(0.0, vms=8, hedge=False)
+
+
+def test_a_vm_that_has_just_started_has_no_slack_to_spend() -> None:
+    """Eight VMs are killed and restarted, and each spends its whole slack once more."""
+    share = ExtraShare(BOUNDS, started=0.0)
+    assert not share.may_take(0.1, vms=1, hedge=False)
+    assert share.may_take(5.0, vms=1, hedge=False)
+
+
+def profile_of(*samples: float) -> LatencyProfile:
+    profile = LatencyProfile()
+    for sample in samples:
+        profile.add(sample)
+    return profile
+
+
+def test_the_hedge_delay_follows_each_kind_of_request() -> None:
+    """A delay that fits the long kind finds no straggler among the short ones."""
+    dice = random.Random(2)
+    short = profile_of(*(dice.lognormvariate(1.5, 0.35) for _ in range(300)))
+    long = profile_of(*(dice.lognormvariate(3.0, 0.35) for _ in range(300)))
+    first = hedge_times(short, aim_left_ms=60, aim_ms=60)
+    second = hedge_times(long, aim_left_ms=140, aim_ms=140)
+    assert 5 < first.delay_ms < 9
+    assert 25 < second.delay_ms < 40
+    assert first.usual_ms < first.delay_ms
+
+
+def test_a_hedge_that_could_not_be_in_time_later_is_started_sooner() -> None:
+    samples = [20.0] * 80 + [60.0] * 20
+    wide = hedge_times(profile_of(*samples), aim_left_ms=200, aim_ms=200)
+    tight = hedge_times(profile_of(*samples), aim_left_ms=70, aim_ms=200)
+    assert tight.delay_ms < wide.delay_ms
+    assert tight.delay_ms + 1.6 * tight.usual_ms <= 72
+
+
+@pytest.mark.parametrize(
+    ("parts", "lost", "aim_passed", "verdict"),
+    [
+        (10, 0, False, PartsVerdict.ANSWER),
+        (9, 0, False, PartsVerdict.WAIT),
+        (9, 0, True, PartsVerdict.ANSWER),
+        (9, 1, False, PartsVerdict.ANSWER),
+        (8, 0, True, PartsVerdict.WAIT),
+        (8, 1, False, PartsVerdict.WAIT),
+        (8, 2, False, PartsVerdict.FAIL),
+        (0, 2, False, PartsVerdict.FAIL),
+        (0, 0, True, PartsVerdict.WAIT),
+    ],
+)
+def test_when_parts_go_out(parts: int, lost: int, aim_passed: bool, verdict: PartsVerdict) -> None:
+    """A search over ten shards, of which nine are enough."""
+    got = parts_verdict(asked=10, least=9, parts=parts, lost=lost, aim_passed=aim_passed)
+    assert got is verdict
+
+
+@pytest.mark.parametrize(
+    ("shards", "share", "least"),
+    [(10, 0.89, 9), (15, 0.89, 14), (10, 0.75, 8), (4, 0.75, 3), (100, 0.89, 89), (3, 0.0, 1)],
+)
+def test_how_many_shards_an_answer_needs(shards: int, share: float, least: int) -> None:
+    names = tuple(f"s{number}" for number in range(shards))
+    assert ShardSet(shards=names, top=1, least_share=share).least == least
+
+
+@settings(derandomize=True, deadline=None, database=None)
+@given(
+    answers=st.lists(st.binary(max_size=6 * RECORD_BYTES + 5), max_size=5), top=st.integers(0, 30)
+)
+def test_the_greatest_records_are_those_of_a_plain_sort(answers: list[bytes], top: int) -> None:
+    whole = [
+        answer[at : at + RECORD_BYTES]
+        for answer in answers
+        for at in range(0, len(answer) - RECORD_BYTES + 1, RECORD_BYTES)
+    ]
+    assert greatest(answers, top) == b"".join(sorted(whole, reverse=True)[:top])
+
+
+@settings(derandomize=True, deadline=None, database=None)
+@given(weights=st.lists(st.floats(0.5, 20), min_size=1, max_size=5), seed=st.integers(0, 99))
+def test_in_turns_no_service_is_off_its_share_by_more_than_a_request_or_two(
+    weights: list[float], seed: int
+) -> None:
+    dice = random.Random(seed)
+    targets = [
+        WeightedService(service=f"s{number}", weight=weight)
+        for number, weight in enumerate(weights)
+    ]
+    turns = WeightedTurns(targets, dice.random)
+    got = dict.fromkeys((t.service for t in targets), 0)
+    for _ in range(200):
+        got[turns.next()] += 1
+    for target in targets:
+        assert abs(got[target.service] - 200 * target.weight / sum(weights)) <= 2
--- /dev/null
+++ b/tests/platform_adapter/test_platform_store.py
@@ -0,0 +1,119 @@
+"""The platform's store as the product's `Store`, against the stand-in over sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+from kv_standin import KvStandin, open_kv
+
+from berylspindle_adapter.platform_store import PlatformStore
+from berylspindle_store.http_store import StoreOptions
+from berylspindle_store.store import (
+    StoreAway,
+    StoreConflict,
+    StoreLeaseGone,
+    StoreUnsure,
+)
+
+OPTIONS = StoreOptions(read_timeout=0.3, write_timeout=0.3, watch_slack=0.3, connect_timeout=0.3)
+
+
+@asynccontextmanager
+async def opened() -> AsyncIterator[tuple[KvStandin, PlatformStore]]:
+    async with open_kv() as kv, PlatformStore("127.0.0.1", kv.port, OPTIONS) as store:
+        yield kv, store
+
+
+async def test_what_is_written_is_read_and_a_wrong_revision_changes_nothing():
+    async with opened() as (_, store):
+        assert await store.get("mine/a") is None
+        made = await store.compare_and_swap("mine/a", b"\x00one", expect=0)
+        read = await store.get("mine/a")
+        assert read is not None
+        assert (read.value, read.revision) == (b"\x00one", made.revision)
+        with pytest.raises(StoreConflict) as caught:
+            await store.compare_and_swap("mine/a", b"two", expect=0)
+        assert caught.value.current == read
+        await store.compare_and_swap("mine/a", None, expect=made.revision)
+        with pytest.raises(StoreConflict) as caught:
+            await store.compare_and_swap("mine/a", b"two", expect=made.revision)
+        assert caught.value.current is None
+
+
+async def test_a_list_of_many_pages_goes_on_from_the_first_one_s_revision():
+    """A change between two pages is never told, since the watch begins after the last page."""
+    async with opened() as (kv, store):
+        kv.page = 7
+        for number in range(30):
+            kv.put(f"servers/{number:02}", {"n": number})
+        before = kv.rev
+        listed = await store.list("servers/")
+        assert [entry.key for entry in listed.entries] == [f"servers/{n:02}" for n in range(30)]
+        assert listed.revision == before
+        assert kv.calls["kv-range"] == 5
+
+
+async def test_a_watch_tells_changes_in_order_and_a_forgotten_history():
+    async with opened() as (kv, store):
+        kv.put("op/config", {"version": 1})
+        after = kv.rev
+        waiting = asyncio.create_task(store.watch("op/", after=after, wait=5))
+        await asyncio.sleep(0.02)
+        kv.put("servers/x", {})
+        await asyncio.sleep(0.02)
+        assert not waiting.done()
+        kv.put("op/config", {"version": 2})
+        told = await waiting
+        assert [entry.value for entry in told.entries] == [b'{"version": 2}']
+        kv.remove("op/config")
+        rest = await store.watch("op/", after=told.revision, wait=5)
+        assert [entry.value for entry in rest.entries] == [None]
+        kv.forget()
+        await asyncio.sleep(0.02)
+        kv.put("op/config", {"version": 3})
+        assert (await store.watch("op/", after=after, wait=1)).compacted
+
+
+@pytest.mark.parametrize(
+    ("outage", "write"),
+    [("503", StoreAway), ("429", StoreAway), ("reset", StoreUnsure), ("silent", StoreUnsure)],
+)
+async def test_what_an_outage_says_of_a_write(outage: str, write: type[Exception]):
+    """A claim counts as not made though it stands: the store took it and did not answer."""
+    async with opened() as (kv, store):
+        kv.outage = outage
+        with pytest.raises(StoreAway):
+            await store.get("a")
+        with pytest.raises(StoreAway):
+            await store.watch("a", after=kv.rev, wait=0.1)
+        with pytest.raises(write):
+            await store.compare_and_swap("a", b"1", expect=0)
+
+
+async def test_a_write_that_is_done_late_is_told_as_unsure_and_found_by_its_condition():
+    async with opened() as (kv, store):
+        kv.lose, kv.late = 1, 0.05
+        with pytest.raises(StoreUnsure):
+            await store.compare_and_swap("a", b"mine", expect=0)
+        await asyncio.sleep(0.1)
+        with pytest.raises(StoreConflict) as caught:
+            await store.compare_and_swap("a", b"again", expect=0)
+        assert caught.value.current is not None
+        assert caught.value.current.value == b"mine"
+
+
+async def test_leases_bind_entries_and_end():
+    async with opened() as (kv, store):
+        lease = await store.grant_lease(5.0)
+        assert lease.ttl == 5.0
+        await store.compare_and_swap("a", b"1", expect=0, lease=lease.id)
+        assert (await store.keep_alive(lease.id)).ttl == 5.0
+        await store.revoke(lease.id)
+        assert kv.items == {}
+        with pytest.raises(StoreLeaseGone):
+            await store.keep_alive(lease.id)
+        with pytest.raises(StoreLeaseGone):
+            await store.compare_and_swap("a", b"1", expect=0, lease=lease.id)
--- /dev/null
+++ b/tests/platform_adapter/test_whole_path.py
@@ -0,0 +1,236 @@
+"""The adapter's program as a process of its own, between stand-ins of the platform on sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import attrs
+from free_ports import free_ports
+from kv_standin import KvStandin, open_kv
+
+from berylspindle_adapter.wire_names import DIALECT
+from berylspindle_decisions.record_merge import greatest
+from berylspindle_standins.forward_replica import (
+    ForwardReplica,
+    answer_body,
+    signature_of,
+    start_replica,
+)
+from berylspindle_wire.client import HttpClient
+from berylspindle_wire.http import HttpResponse
+from berylspindle_wire.http_client import FailurePhase, HttpFailure
+
+HOST = "lots.example"
+SHARDS = ("s1", "s2", "s3")
+
+
+def configuration(version: int, **changes: object) -> dict[str, object]:
+    route = {
+        "name": "merged",
+        "host": HOST,
+        "prefix": "/lots/",
+        "kind": "idempotent",
+        "timeout_ms": 5000,
+        "target_latency_ms": 2000,
+        "priority": 1,
+        "gather": list(SHARDS),
+        "attempts": 2,
+        "top_k": 5,
+        "min_version": 0.6,
+    }
+    plain = {
+        "name": "plain",
+        "host": HOST,
+        "prefix": "/booking/",
+        "kind": "non_idempotent",
+        "timeout_ms": 5000,
+        "target_latency_ms": 2000,
+        "service": "booking",
+    }
+    document: dict[str, object] = {"version": version, "routes": [route, plain], "services": []}
+    return document | changes
+
+
+@attrs.define(kw_only=True)
+class Platform:
+    """A store, replicas that it knows, and one VM of the system."""
+
+    kv: KvStandin
+    process: asyncio.subprocess.Process
+    client: HttpClient
+    ready: HttpClient
+    replicas: dict[str, ForwardReplica]
+    stack: AsyncExitStack
+    count: int = 0
+
+    async def ask(self, path: str, method: str = "GET", body: bytes = b"") -> HttpResponse:
+        self.count += 1
+        headers = {"host": HOST, "Request-Id": f"id-{self.count}", "Deadline-Ms": "4000"}
+        return await self.client.request(method, path, headers=headers, body=body, timeout=10)
+
+    async def is_ready(self) -> bool:
+        try:
+            return (await self.ready.get("/-/ready")).status == 200
+        except HttpFailure:
+            return False
+
+    async def until_ready(self) -> None:
+        async with asyncio.timeout(20):
+            while not await self.is_ready():  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+    def announce(self, replica: ForwardReplica, state: str = "ready", **fields: object) -> None:
+        said = {
+            "service": replica.service,
+            "addr": f"127.0.0.1:{replica.port}",
+            "zone": "north",
+            "slots": 3,
+            "state": state,
+            "warmup_left_ms": 0,
+            "sequence": 1,
+        }
+        self.kv.put(f"servers/{replica.id}", said | fields)
+
+
+@asynccontextmanager
+async def open_platform(folder: Path) -> AsyncIterator[Platform]:
+    async with AsyncExitStack() as stack:
+        kv = await stack.enter_async_context(open_kv())
+        replicas = {}
+        for service in (*SHARDS, "booking"):
+            for number in range(2):
+                replica = await start_replica(f"i-{service}-{number}", service, dialect=DIALECT)
+                stack.push_async_callback(replica.close)
+                replicas[replica.id] = replica
+        front, ready, metrics, inner = free_ports(4)
+        path = folder / "node.toml"
+        path.write_text(
+            f'node = "front-1"\nzone = "north"\nip = "127.0.0.1"\n'
+            f"internal_ports = [{inner}, {inner}]\nmetrics_port = {metrics}\n"
+            f'[listen]\nfront = "127.0.0.1:{front}"\nready = "127.0.0.1:{ready}"\n'
+            f"[bounds]\ngrace_s = 5\nbudget_slack = 60\n"
+            f'[platform]\naddr = "127.0.0.1:{kv.port}"\n'
+        )
+        kv.put("op/config", configuration(1))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "berylspindle_adapter.main",
+            env={**os.environ, "BERYLSPINDLE_NODE_FILE": str(path)},
+            stdout=(folder / "log.jsonl").open("wb"),
+            cwd=folder,
+        )
+        stack.push_async_callback(_end, process)
+        clients = [HttpClient("127.0.0.1", port, limit=20) for port in (front, ready)]
+        for one in clients:
+            await stack.enter_async_context(one)
+        platform = Platform(
+            kv=kv,
+            process=process,
+            client=clients[0],
+            ready=clients[1],
+            replicas=replicas,
+            stack=stack,
+        )
+        for replica in replicas.values():
+            platform.announce(replica)
+        yield platform
+
+
+async def _end(process: asyncio.subprocess.Process) -> None:
+    if process.returncode is None:
+        process.kill()
+        await process.wait()
+
+
+async def test_a_search_and_a_booking_pass_and_the_operator_s_changes_come_into_force(
+    tmp_path: Path,
+) -> None:
+    async with open_platform(tmp_path) as platform:
+        await platform.until_ready()
+        told = await platform.ask("/lots/1")
+        bodies = {shard: answer_body(shard, "/lots/1") for shard in SHARDS}
+        assert told.status == 200
+        assert told.body == greatest(bodies.values(), 5)
+        assert set(told.headers["part-stamps"].split(", ")) == {
+            signature_of(shard, "id-1", body) for shard, body in bodies.items()
+        }
+        assert (await platform.ask("/booking/1", "POST", b"{}")).status == 200
+        leaving = platform.replicas["i-booking-0"]
+        platform.announce(leaving, state="draining")
+        platform.kv.put("servers/i-broken", b"\xff\x00")
+        routes = configuration(2)["routes"]
+        assert isinstance(routes, list)
+        platform.kv.put("op/config", configuration(2, routes=routes[1:]))
+        async with asyncio.timeout(5):
+            while (await platform.ask("/lots/2")).status != 404:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+        before = leaving.counts.arrivals
+        for _ in range(10):
+            assert (await platform.ask("/booking/2", "POST", b"{}")).status == 200
+        assert leaving.counts.arrivals == before
+
+
+async def test_with_the_store_away_a_vm_serves_by_what_it_knew_and_follows_when_it_is_back(
+    tmp_path: Path,
+) -> None:
+    """Searches end with the store: a VM that can't reach it forgets its routes or its replicas."""
+    async with open_platform(tmp_path) as platform:
+        await platform.until_ready()
+        platform.kv.outage = "reset"
+        platform.kv.cut()
+        await asyncio.sleep(0.3)
+        assert (await platform.ask("/lots/1")).status == 200
+        # Leases of live replicas lapse meanwhile; they announce themselves again in time.
+        for replica in platform.replicas.values():
+            platform.kv.remove(f"servers/{replica.id}")
+        platform.kv.forget()
+        platform.kv.outage = ""
+        await asyncio.sleep(0.8)
+        for number in range(5):
+            assert (await platform.ask(f"/lots/{number}")).status == 200
+        for replica in platform.replicas.values():
+            if replica.service != "booking":
+                platform.announce(replica)
+        await asyncio.sleep(3.5)
+        assert (await platform.ask("/lots/9")).status == 200
+        # These have not come back within the time for it, and count as gone.
+        assert (await platform.ask("/booking/9", "POST", b"{}")).status == 503
+
+
+async def test_on_sigterm_a_vm_is_unready_at_once_and_answers_all_that_comes(
+    tmp_path: Path,
+) -> None:
+    """Callers get errors while a VM is replaced."""
+    async with open_platform(tmp_path) as platform:
+        await platform.until_ready()
+        for replica in platform.replicas.values():
+            replica.behaviour.work = 0.05
+        told: list[HttpResponse] = []
+        failures: list[HttpFailure] = []
+
+        async def ask_all_along() -> None:
+            while platform.process.returncode is None:
+                try:
+                    told.append(await platform.ask("/lots/1"))
+                except HttpFailure as failure:
+                    failures.append(failure)
+                    return
+
+        askers = [asyncio.create_task(ask_all_along()) for _ in range(6)]
+        await asyncio.sleep(0.2)
+        platform.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        assert not await platform.is_ready()
+        await asyncio.gather(*askers)
+        assert await asyncio.wait_for(platform.process.wait(), 6) == 0
+        # Once the port is closed nothing is taken, and each caller is told so.
+        assert {failure.phase for failure in failures} == {FailurePhase.NOT_SENT}
+        assert {one.status for one in told} == {200}
+        assert len(told) > 20
--- a/tests/wire/test_http_pool.py
+++ b/tests/wire/test_http_pool.py
@@ -266,20 +266,22 @@
     def wait(self, seconds: float) -> None:
         self.do(asyncio.sleep(seconds))
 
-    @rule(pick=st.randoms(use_true_random=False))
-    def cancel(self, pick) -> None:
+    # What is there to choose from depends on sockets and so on time; a draw must not, or Hypothesis
+    # takes a busy machine for a strategy that is flaky.
+    @rule(pick=st.integers(0, 999))
+    def cancel(self, pick: int) -> None:
         if self.asking:
-            pick.choice(self.asking).cancel()
+            self.asking[pick % len(self.asking)].cancel()
 
     @rule(is_open=st.booleans())
     def gate(self, is_open: bool) -> None:
         self.fake.gate.set() if is_open else self.fake.gate.clear()
 
-    @rule(pick=st.randoms(use_true_random=False), silent=st.booleans())
-    def harm(self, pick, silent: bool) -> None:
+    @rule(pick=st.integers(0, 999), silent=st.booleans())
+    def harm(self, pick: int, silent: bool) -> None:
         if not self.fake.writers:
             return
-        number = pick.choice(sorted(self.fake.writers))
+        number = sorted(self.fake.writers)[pick % len(self.fake.writers)]
         if silent:
             self.fake.silent.add(number)
         else:
--- a/tests/wire/test_link_history.py
+++ b/tests/wire/test_link_history.py
@@ -97,11 +97,13 @@
         for _ in range(turns):
             await asyncio.sleep(0)
 
-    @rule(pick=st.randoms(use_true_random=False))
-    def cancel(self, pick: Any) -> None:
+    # What is there to choose from depends on sockets and so on time; a draw must not, or Hypothesis
+    # takes a busy machine for a strategy that is flaky.
+    @rule(pick=st.integers(0, 999))
+    def cancel(self, pick: int) -> None:
         waiting = [name for name in self.submitted if name not in self.replies]
-        chosen = pick.sample(waiting, min(2, len(waiting)))
-        self.do(self._cancel(chosen))
+        start = pick % len(waiting) if waiting else 0
+        self.do(self._cancel((waiting[start:] + waiting[:start])[:2]))
 
     async def _cancel(self, chosen: list[str]) -> None:
         self.cancelled.update(chosen)
@@ -111,11 +113,12 @@
     def wait(self) -> None:
         self.do(asyncio.sleep(0.01))
 
-    @rule(pick=st.randoms(use_true_random=False), twice=st.booleans(), shard=st.sampled_from("01"))
-    def answer(self, pick: Any, twice: bool, shard: str) -> None:
+    @rule(pick=st.integers(0, 999), twice=st.booleans(), shard=st.sampled_from("01"))
+    def answer(self, pick: int, twice: bool, shard: str) -> None:
         if not self.owner.held:
             return
-        attempt, reply = self.owner.held.pop(pick.choice(sorted(self.owner.held)))
+        chosen = sorted(self.owner.held)[pick % len(self.owner.held)]
+        attempt, reply = self.owner.held.pop(chosen)
         message = AttemptReply(attempt=attempt.id, server="s", shard=shard)
         if shard == attempt.shard:
             self.answered.add(attempt.id)
