--- a/libs/decisions/berylspindle_decisions/replica_standing.py
+++ b/libs/decisions/berylspindle_decisions/replica_standing.py
@@ -36,7 +36,7 @@
 HOLD_FIRST: Final = 0.1
 HOLD_MOST: Final = 3.0
 REPORT_FRESH: Final = 0.3
-LOCAL_SHARE: Final = 0.7
+LOCAL_SHARE: Final = 0.5
 SPREAD: Final = 0.25
 COLD_COST: Final = 1.6
 
