Learn which replicas shed, and tell a caller when the extra share is spent

Ruled out: room at the replicas; those that answered did so in 20 ms. Change: a shed rate in a replica's cost; a race gives up 120 ms after its retries were denied; a VM that has just started has two fifths of its slack in place of none.

--- a/libs/decisions/berylspindle_decisions/attempt_race.py
+++ b/libs/decisions/berylspindle_decisions/attempt_race.py
@@ -19,7 +19,9 @@
 `PAUSE_FIRST`.
 
 Thresholds: a replica that refused is asked again after 10 ms, then twice as long: its queue of some
-twenty is gone in about that many. A budget that is spent is asked again after `BUDGET_PAUSE`.
+twenty is gone in about that many. A budget that is spent is asked again after `BUDGET_PAUSE`, until
+`BUDGET_PATIENCE` is over: a share that is spent stays so for seconds, and a caller that is told at
+once can try again elsewhere.
 """
 
 from __future__ import annotations
@@ -33,7 +35,8 @@
 
 PAUSE_FIRST: Final = 0.01
 PAUSE_MOST: Final = 0.16
-BUDGET_PAUSE: Final = 0.01
+BUDGET_PAUSE: Final = 0.02
+BUDGET_PATIENCE: Final = 0.12
 HEDGE_AGAIN: Final = 0.01
 
 
@@ -142,6 +145,7 @@
         self._not_before = -math.inf
         self._pause = PAUSE_FIRST
         self._hedge_at = math.inf
+        self._denied_since = math.inf
 
     @property
     def may_have_run(self) -> bool:
@@ -217,8 +221,12 @@
         if all(attempt.end is AttemptEnd.NOT_SENT for attempt in self.attempts):
             return SendTo(replica, "first")
         if not guide.may_take_extra(self.service, hedge=False):
+            self._denied_since = min(self._denied_since, now)
+            if now - self._denied_since >= BUDGET_PATIENCE:
+                return self._lose("the extra share is spent")
             self._not_before = now + BUDGET_PAUSE
             return WaitUntil(min(self._not_before, self._deadline))
+        self._denied_since = math.inf
         return SendTo(replica, "retry")
 
     def _lose(self, detail: str) -> GiveUp:
--- a/libs/decisions/berylspindle_decisions/extra_share.py
+++ b/libs/decisions/berylspindle_decisions/extra_share.py
@@ -32,6 +32,7 @@
 STEPS: Final = 20
 SAFETY: Final = 0.95
 HEDGE_PART: Final = 0.85
+FIRST_SLACK: Final = 0.4
 
 
 @attrs.frozen(kw_only=True)
@@ -85,7 +86,8 @@
         """Return how many more extras are allowed now, of all kinds."""
         self._requests.age(now)
         self._extras.age(now)
-        grown = min(1.0, max(0.0, (now - self._started) / self._bounds.window))
+        age = max(0.0, now - self._started) / self._bounds.window
+        grown = min(1.0, FIRST_SLACK + (1.0 - FIRST_SLACK) * age)
         slack = self._bounds.slack * grown / max(1, vms)
         allowed = SAFETY * (self._bounds.ratio * self._requests.total + slack)
         return allowed - self._extras.total
--- a/libs/decisions/berylspindle_decisions/replica_standing.py
+++ b/libs/decisions/berylspindle_decisions/replica_standing.py
@@ -9,6 +9,7 @@
   late       an attempt that has been out for longer than its hedge delay
   stalled    a replica whose oldest attempt is late; it answers nothing just now
   held off   a replica that has refused or failed lately, until a time that doubles with each
+  shed rate  share of the latest attempts that the replica refused or failed
   cost       what an attempt is expected to take, in usual latencies; the least is chosen
 
 Flow: `sent`, `answered`, `refused`, `failed` and `given_up` follow each attempt; `cost` is asked
@@ -19,7 +20,9 @@
 forgotten over `PACE_MEMORY` seconds, for what is not asked shows nothing: a replica that was slow
 is tried again by one request of each VM in that time, and its hedge answers in its place. A stalled
 replica costs `STALLED` usual latencies: it gets work only where all others are stalled too. A held
-off one costs `HELD_OFF`, less than a stalled one, since it answers at once.
+off one costs `HELD_OFF`, less than a stalled one, since it answers at once. A replica that refuses half
+of what it gets is free again after each success, so that it would get a third of the work; its shed
+rate, at `SHED_COST` usual latencies, leaves it what sound replicas of its service can't take.
 """
 
 from __future__ import annotations
@@ -39,6 +42,9 @@
 LOCAL_SHARE: Final = 0.5
 SPREAD: Final = 0.25
 COLD_COST: Final = 1.6
+SHED_COST: Final = 4.0
+SHED_WEIGHT: Final = 0.2
+SHED_MEMORY: Final = 5.0
 
 
 class Standing:
@@ -55,6 +61,8 @@
         self._held_until = -math.inf
         self._holds = 0
         self._stalled_until = -math.inf
+        self._shed = 0.0
+        self._shed_at = -math.inf
         self._load = 0.0
         self._load_at = -math.inf
 
@@ -70,6 +78,12 @@
             return 1.0
         return 1.0 + (self._pace - 1.0) * math.exp(-max(0.0, age) / PACE_MEMORY)
 
+    def shed_rate(self, now: float) -> float:
+        """Return the share of attempts that it refused or failed, as far as it is remembered."""
+        if self._shed == 0.0:
+            return 0.0
+        return self._shed * math.exp(-max(0.0, now - self._shed_at) / SHED_MEMORY)
+
     def is_stalled(self, now: float) -> bool:
         """Tell whether the replica answers nothing just now."""
         if now < self._stalled_until:
@@ -92,6 +106,7 @@
         self._stalled_until = -math.inf
         self._holds = 0
         self._learn(now, ratio)
+        self._note_shed(now, 0.0)
 
     def refused(self, now: float, attempt: object, *, wait: float = 0.0) -> None:
         """Note a refusal that did not run; `wait` is the time that the replica asked for."""
@@ -145,7 +160,7 @@
             cost += STALLED
         if now < self._held_until:
             cost += HELD_OFF
-        return cost
+        return cost + SHED_COST * self.shed_rate(now)
 
     def _learn(self, now: float, ratio: float) -> None:
         pace = self.pace(now)
@@ -153,7 +168,13 @@
         self._pace = pace + weight * (min(ratio, MOST_PACE) - pace)
         self._pace_at = now
 
+    def _note_shed(self, now: float, value: float) -> None:
+        rate = self.shed_rate(now)
+        self._shed = rate + SHED_WEIGHT * (value - rate)
+        self._shed_at = now
+
     def _hold(self, now: float, wait: float) -> None:
+        self._note_shed(now, 1.0)
         if now >= self._held_until:
             self._holds = min(self._holds + 1, 8)
         pause = min(HOLD_MOST, HOLD_FIRST * 2.0 ** (self._holds - 1))
--- a/tests/decisions/test_load_race.py
+++ b/tests/decisions/test_load_race.py
@@ -140,6 +140,22 @@
     send(race, step.time, guide, "retry")
 
 
+def test_when_the_extra_share_stays_spent_the_caller_is_told_soon() -> None:
+    """A search waits a whole second for leave to ask again, and is then told that it failed.
+
+    Told at once, its caller could have tried again through another VM.
+    """
+    guide, race = Guide(extras=0), race_of()
+    attempt = send(race, 0.0, guide, "first")
+    race.ended(0.01, attempt, AttemptEnd.NOT_RUN, refused=True)
+    now = 0.01
+    while isinstance(step := race.step(now, guide), WaitUntil):
+        now = step.time
+    assert isinstance(step, GiveUp)
+    assert 0.1 <= now <= 0.2
+    assert not race.may_have_run
+
+
 class RaceMachine(RuleBasedStateMachine):
     """Any order of ends, refusals, answers, changes of what is usable, and time."""
 
