Announce VMs in the store, and follow a peer's mirror where the store is away

Weighed: gossip of the control plane (views, guardians; about 1 KB/s and 12 messages a second a VM) against one entry a VM under a lease and a read-only copy of the entries at each VM, spoken with the code that follows the store. The second needs no second protocol, and revisions stay the store's own. Conclusion: kept for what it answers; tests start a VM in an outage, and one that the store turns away.

--- a/libs/decisions/berylspindle_decisions/replica_standing.py
+++ b/libs/decisions/berylspindle_decisions/replica_standing.py
@@ -20,9 +20,9 @@
 forgotten over `PACE_MEMORY` seconds, for what is not asked shows nothing: a replica that was slow
 is tried again by one request of each VM in that time, and its hedge answers in its place. A stalled
 replica costs `STALLED` usual latencies: it gets work only where all others are stalled too. A held
-off one costs `HELD_OFF`, less than a stalled one, since it answers at once. A replica that refuses half
-of what it gets is free again after each success, so that it would get a third of the work; its shed
-rate, at `SHED_COST` usual latencies, leaves it what sound replicas of its service can't take.
+off one costs `HELD_OFF`, less than a stalled one, since it answers at once. A replica that refuses
+half of what it gets is free again after each success, so that it would get a third of the work; its
+shed rate, at `SHED_COST` usual latencies, leaves it what sound replicas of its service can't take.
 """
 
 from __future__ import annotations
--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -6,7 +6,8 @@
               is alive announces itself again within it
 
 Flow: `run` lists all that there is, then watches what comes after, and hands each change to a
-`CatalogueListener`. Every failure is followed by another try, later and later.
+`CatalogueListener`, and each entry to this VM's own mirror. Whom it follows, the store or a peer,
+is the choice of a `FollowChoice`. Every failure is followed by another try, later and later.
 
 Guards: leases of live replicas lapse while the store is away, and their entries go. Taken at its
 word, the store would leave a service without a replica just when it is back. So an entry that goes
@@ -23,8 +24,10 @@
 
 import attrs
 
+from berylspindle_forwarding.follow_choice import FollowChoice, Followed
+from berylspindle_forwarding.mirror import Mirror
 from berylspindle_model.routing import Replica, RoutingTable
-from berylspindle_store.store import Store, StoreAway, StoredValue, StoreUnsure
+from berylspindle_store.store import StoreAway, StoredValue, StoreUnsure
 
 WATCH_S: Final = 28.0
 """Seconds that a watch waits: the longest that the store takes, less its way there."""
@@ -62,12 +65,25 @@
     is_out: bool
 
 
+@attrs.frozen(kw_only=True)
+class VmEntry:
+    """Where the peers of a VM reach it; its own form in the store, as JSON.
+
+    Attributes:
+        port: where its mirror is read.
+    """
+
+    host: str
+    port: int
+    data_centre: str = ""
+
+
 @attrs.frozen
 class VmChange:
-    """A VM of the system is there, at this address, or has gone."""
+    """A VM of the system is there, or has gone."""
 
     id: str
-    address: str | None
+    vm: VmEntry | None
 
 
 @attrs.frozen
@@ -116,53 +132,64 @@
 
 
 class Catalogue:
-    """Follow the store; `run` is the task that owns all state here."""
+    """Follow the store, or a peer's mirror; `run` is the task that owns all state here."""
 
     def __init__(
         self,
-        store: Store,
+        choice: FollowChoice,
         reader: CatalogueReader,
         listener: CatalogueListener,
+        mirror: Mirror,
         *,
         now: Callable[[], float],
         u: Callable[[], float],
     ) -> None:
-        self._store: Final = store
+        self._choice: Final = choice
         self._reader: Final = reader
         self._listener: Final = listener
+        self._mirror: Final = mirror
         self._now: Final = now
         self._u: Final = u
         self._known: dict[str, int] = {}
         self._going: dict[str, StoredValue] = {}
         self._settled_at = 0.0
-        self._was_away = False
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
         after: int | None = None
         pause = RETRY_FIRST_S
         while True:
+            followed = self._choice.pick()
             try:
-                after = await self._list() if after is None else await self._watch(after)
+                after = await self._step(followed, after)
             except (StoreAway, StoreUnsure) as error:
-                self._was_away = True
-                self._listener.on_store(False, str(error))
+                await self._choice.failed(followed)
+                if not followed.is_mirror:
+                    self._mirror.set_in_step(False)
+                    self._listener.on_store(False, str(error))
                 await asyncio.sleep(pause * (0.5 + self._u()))
                 pause = min(RETRY_MOST_S, 2 * pause)
                 continue
             pause = RETRY_FIRST_S
-            await asyncio.sleep(COLLECT_S)
+            if not followed.is_mirror:
+                await asyncio.sleep(COLLECT_S)
+
+    async def _step(self, followed: Followed, after: int | None) -> int | None:
+        if after is None:
+            return await self._list(followed)
+        return await self._watch(followed, after)
 
-    async def _list(self) -> int:
+    async def _list(self, followed: Followed) -> int:
         revision: int | None = None
         found: dict[str, StoredValue] = {}
         for part in self._reader.parts:
-            listed = await self._store.list(part)
+            listed = await followed.store.list(part)
             # What changes between two lists is found by the watch after the first one.
             revision = listed.revision if revision is None else min(revision, listed.revision)
             found.update((entry.key, entry) for entry in listed.entries)
-        self._reached()
         assert revision is not None
+        await self._reached(followed)
+        self._mirror.set_listed(found.values(), revision)
         for entry in found.values():
             self._take(entry)
         for key in [key for key in self._known if key not in found]:
@@ -170,24 +197,30 @@
         self._listener.on_listed()
         return revision
 
-    async def _watch(self, after: int) -> int | None:
-        wait = WATCH_S
+    async def _watch(self, followed: Followed, after: int) -> int | None:
+        wait = WATCH_S if followed.wait is None else followed.wait
         if self._going:
-            wait = max(0.05, self._settled_at - self._now())
-        result = await self._store.watch(self._reader.prefix, after=after, wait=wait)
-        self._reached()
+            wait = min(wait, max(0.05, self._settled_at - self._now()))
+        result = await followed.store.watch(self._reader.prefix, after=after, wait=wait)
+        await self._reached(followed)
         if result.compacted:
             return None
+        self._mirror.add(result.entries, result.revision)
         for entry in result.entries:
             self._take(entry)
         self._drop_gone()
         return result.revision
 
-    def _reached(self) -> None:
-        if self._was_away:
-            self._was_away = False
+    async def _reached(self, followed: Followed) -> None:
+        if followed.is_mirror:
+            # Whether a mirror's deletions are of an outage's making can't be told from here.
+            self._settled_at = self._now() + SETTLE_S
+        elif self._choice.store_away:
             self._settled_at = self._now() + SETTLE_S
-        self._listener.on_store(True, "")
+        if not followed.is_mirror:
+            self._mirror.set_in_step(True)
+            self._listener.on_store(True, "")
+        await self._choice.worked(followed)
 
     def _take(self, entry: StoredValue) -> None:
         known = self._known.get(entry.key, 0)
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/follow_choice.py
@@ -0,0 +1,127 @@
+"""Whom this VM follows just now: the store, or a peer's mirror of it.
+
+Terms:
+  away     the store did not answer this VM's last call; others may still be served by it
+  mirror   a peer's copy of the store's entries (`mirror`)
+
+Flow: the catalogue asks `pick` before each call and reports how it went. The store is followed
+while it answers. While it is away the calls go to mirrors and the store in turn: a mirror keeps
+this VM up to date, and a short try shows when the store is back. A mirror that failed is passed
+over for a while; one that isn't in step itself is followed only while no other is.
+
+Guard: the store may turn some VMs away while it serves the others, and a VM may start while the
+store is away; without its peers such a VM serves by old routes, or by none.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from berylspindle_forwarding.mirror import MirrorStore
+from berylspindle_store.store import Store
+
+MIRROR_WAIT_S: Final = 1.0
+PROBE_WAIT_S: Final = 0.05
+PASSED_OVER_S: Final = 3.0
+
+
+@attrs.frozen
+class MirrorAddress:
+    """Where a peer's mirror is read; `is_near` in the own data centre."""
+
+    host: str
+    port: int
+    is_near: bool = False
+
+
+@attrs.frozen
+class Followed:
+    """Whom to call, and how long a watch of it may wait; None where it may as long as is usual."""
+
+    store: Store
+    wait: float | None
+    is_mirror: bool
+
+
+class FollowChoice:
+    """Choose between the store and peers' mirrors. `mirrors` returns the peers known now."""
+
+    def __init__(
+        self,
+        store: Store,
+        *,
+        mirrors: Callable[[], tuple[MirrorAddress, ...]],
+        now: Callable[[], float],
+        dice: random.Random,
+    ) -> None:
+        self._store: Final = store
+        self._mirrors: Final = mirrors
+        self._now: Final = now
+        self._dice: Final = dice
+        self._away = False
+        self._store_next = True
+        self._passed_over: dict[MirrorAddress, float] = {}
+        self._current: tuple[MirrorAddress, MirrorStore] | None = None
+
+    @property
+    def store_away(self) -> bool:
+        """Tell whether the store did not answer last."""
+        return self._away
+
+    def pick(self) -> Followed:
+        """Return whom to call next."""
+        if not self._away:
+            return Followed(self._store, None, False)
+        self._store_next = not self._store_next
+        mirror = None if self._store_next else self._mirror()
+        if mirror is None:
+            return Followed(self._store, PROBE_WAIT_S, False)
+        return Followed(mirror, MIRROR_WAIT_S, True)
+
+    async def worked(self, followed: Followed) -> None:
+        """Note that a call was answered."""
+        if not followed.is_mirror:
+            self._away = False
+            await self._leave()
+        elif isinstance(followed.store, MirrorStore) and followed.store.behind_ms:
+            await self._pass_over()
+
+    async def failed(self, followed: Followed) -> None:
+        """Note that a call was not answered."""
+        if not followed.is_mirror:
+            self._away, self._store_next = True, True
+            return
+        await self._pass_over()
+
+    async def close(self) -> None:
+        """Close the connections to mirrors; the store's are not this object's."""
+        await self._leave()
+
+    def _mirror(self) -> MirrorStore | None:
+        if self._current is not None:
+            return self._current[1]
+        now = self._now()
+        known = [a for a in self._mirrors() if self._passed_over.get(a, now) <= now]
+        if not known:
+            # Better one that lags than none; all have been tried within the last seconds.
+            known = list(self._mirrors())
+        if not known:
+            return None
+        near = [address for address in known if address.is_near]
+        address = self._dice.choice(near or known)
+        self._current = (address, MirrorStore(address.host, address.port))
+        return self._current[1]
+
+    async def _pass_over(self) -> None:
+        if self._current is not None:
+            self._passed_over[self._current[0]] = self._now() + PASSED_OVER_S
+        await self._leave()
+
+    async def _leave(self) -> None:
+        current, self._current = self._current, None
+        if current is not None:
+            await current[1].close()
--- a/libs/forwarding/berylspindle_forwarding/forward_daemon.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_daemon.py
@@ -39,7 +39,7 @@
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.logs import logger
 from berylspindle_telemetry.metrics import CONTENT_TYPE, Metrics
-from berylspindle_wire.http import HttpLimits, HttpRequest, HttpResponse
+from berylspindle_wire.http import Handler, HttpLimits, HttpRequest, HttpResponse
 from berylspindle_wire.http_head import read_raw_head
 from berylspindle_wire.http_server import HttpServer, serve
 
@@ -67,6 +67,7 @@
         callers: where callers' requests arrive.
         ready: where the balancer asks, or None; `ready_path` is what it asks for.
         metrics: where metrics are read, or None; `metrics_path` likewise.
+        peers: where other VMs read this one's mirror, or None.
         grace_s: seconds between the order to stop and the end of the process.
         connections: callers' connections at a time.
     """
@@ -76,6 +77,7 @@
     ready_path: str = "/readyz"
     metrics: Endpoint | None = None
     metrics_path: str = "/metrics"
+    peers: Endpoint | None = None
     grace_s: float = 6.0
     connections: int = 2000
 
@@ -106,6 +108,8 @@
         )
         self._stack.push_async_callback(self._callers.close, 0.0)
         self._forwarder.on_limits = self._set_limits
+        if self._edges.peers is not None:
+            await self._serve_page(self._edges.peers, self._forwarder.mirror.answer)
         if self._edges.ready is not None:
             await self._serve_page(self._edges.ready, self._answer_ready)
         if self._edges.metrics is not None:
@@ -122,22 +126,18 @@
         self._stage("drain")
         await self._callers.close(max(0.1, ends - loop.time()))
         self._stage("close")
+        await self._forwarder.leave()
         await self.close()
 
     async def close(self) -> None:
         """Close all edges at once."""
         await self._stack.aclose()
 
-    async def _serve_page(
-        self, at: Endpoint, answer: Callable[[HttpRequest], HttpResponse]
-    ) -> None:
-        async def handle(request: HttpRequest) -> HttpResponse:
-            return answer(request)
-
-        server = await serve(handle, host=at.host, port=at.port, on_fault=self._on_fault)
+    async def _serve_page(self, at: Endpoint, answer: Handler) -> None:
+        server = await serve(answer, host=at.host, port=at.port, on_fault=self._on_fault)
         self._stack.push_async_callback(server.close, 0.0)
 
-    def _answer_ready(self, request: HttpRequest) -> HttpResponse:
+    async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
         if request.path != self._edges.ready_path:
             return HttpResponse(status=404)
         refusal: Refusal | None = self._forwarder.unready()
@@ -145,11 +145,13 @@
             return HttpResponse(status=200)
         return HttpResponse(status=503, body=refusal.kind.value.encode())
 
-    def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
+    async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
         if request.path != self._edges.metrics_path:
             return HttpResponse(status=404)
         return HttpResponse(
-            status=200, body=self._metrics.render(), headers={"content-type": CONTENT_TYPE}
+            status=200,
+            body=await self._metrics.render_in_steps(),
+            headers={"content-type": CONTENT_TYPE},
         )
 
     def _set_limits(self, limits: HttpLimits) -> None:
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -27,11 +27,16 @@
     TableChange,
     Unreadable,
     VmChange,
+    VmEntry,
 )
 from berylspindle_forwarding.dialect import Dialect
+from berylspindle_forwarding.follow_choice import FollowChoice, MirrorAddress
 from berylspindle_forwarding.front import Front
+from berylspindle_forwarding.mirror import Mirror
 from berylspindle_forwarding.replica_book import ColdBounds, ReplicaBook
 from berylspindle_forwarding.replica_pool import PoolOptions
+from berylspindle_forwarding.vm_announcer import VmAnnouncer
+from berylspindle_model import codec
 from berylspindle_model.errors import ErrorKind, Refusal
 from berylspindle_store.store import Store
 from berylspindle_telemetry import metric_names as names
@@ -45,6 +50,8 @@
     """Settings of forwarding on one VM.
 
     Attributes:
+        peers: where this VM's mirror is read, or None; `seeds` are those of some others.
+        announce_key: key of this VM's entry in the store, or empty.
         expected_vms: VMs that share budgets and connections while fewer are known.
         extra: the bound on hedges and retries of all VMs together.
         cold: the bound on requests to a cold replica.
@@ -52,6 +59,9 @@
 
     vm: str
     data_centre: str
+    peers: MirrorAddress | None = None
+    seeds: tuple[MirrorAddress, ...] = ()
+    announce_key: str = ""
     expected_vms: int = 8
     dialect: Dialect = attrs.field(factory=Dialect)
     extra: ExtraBounds = attrs.field(factory=ExtraBounds)
@@ -69,7 +79,7 @@
         self._options: Final = options
         self._metrics: Final = metrics
         self._log: Final = logger("forwarding")
-        self._vms: dict[str, str] = {}
+        self._vms: dict[str, VmEntry] = {}
         self._out: set[str] = set()
         self._listed = False
         self._shutting_down = False
@@ -95,7 +105,14 @@
             started=loop.time(),
         )
         self.front: Final = Front(self._tools)
-        self._catalogue: Final = Catalogue(store, reader, self, now=loop.time, u=random.random)
+        self.mirror: Final = Mirror(loop.time)
+        self._choice: Final = FollowChoice(
+            store, mirrors=self._mirrors, now=loop.time, dice=random.Random()
+        )
+        self._catalogue: Final = Catalogue(
+            self._choice, reader, self, self.mirror, now=loop.time, u=random.random
+        )
+        self._announcer: Final = _announcer(options, store, self._on_announce_failed)
         metrics.gauge_function(names.REPLICAS_KNOWN, lambda: len(self.book))
 
     @property
@@ -116,8 +133,21 @@
         self._shutting_down = True
 
     async def run(self) -> None:
-        """Follow the catalogue until cancelled."""
-        await self._catalogue.run()
+        """Follow the catalogue, and keep this VM announced, until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._catalogue.run())
+            if self._announcer is not None:
+                tasks.create_task(self._announcer.run())
+
+    async def leave(self) -> None:
+        """Tell the other VMs that this one goes."""
+        if self._announcer is not None:
+            await self._announcer.withdraw()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._choice.close()
+        await self.book.close()
 
     def on_change(self, change: Change) -> None:
         """Take one change of the catalogue."""
@@ -128,10 +158,7 @@
         elif isinstance(change, OutChange):
             self._set_out(change)
         elif isinstance(change, VmChange):
-            if change.address is not None:
-                self._vms[change.id] = change.address
-            else:
-                self._vms.pop(change.id, None)
+            self._take_vm(change)
         else:
             self._note_unreadable(change)
 
@@ -187,6 +214,33 @@
             },
         )
 
+    def _take_vm(self, change: VmChange) -> None:
+        if change.vm is not None:
+            self._vms[change.id] = change.vm
+        else:
+            self._vms.pop(change.id, None)
+        self._log.info(
+            "VM announced" if change.vm is not None else "VM gone",
+            extra={"id": change.id, "vms": len(self._vms)},
+        )
+
+    def _mirrors(self) -> tuple[MirrorAddress, ...]:
+        """Return where peers' mirrors are read: of VMs that are known, and of seeds."""
+        here = self._options.data_centre
+        known = {
+            (vm.host, vm.port): MirrorAddress(vm.host, vm.port, vm.data_centre == here)
+            for vm in self._vms.values()
+        }
+        for seed in self._options.seeds:
+            known.setdefault((seed.host, seed.port), seed)
+        if self._options.peers is not None:
+            known.pop((self._options.peers.host, self._options.peers.port), None)
+        return tuple(known.values())
+
+    def _on_announce_failed(self, detail: str) -> None:
+        self._metrics.count(names.ANNOUNCE_FAILED)
+        self._log.debug("this VM is not announced", extra={"detail": detail})
+
     def _set_out(self, change: OutChange) -> None:
         if change.is_out:
             self._out.add(change.data_centre)
@@ -201,6 +255,19 @@
         return max(len(self._vms), self._options.expected_vms)
 
 
+def _announcer(
+    options: ForwardOptions, store: Store, on_failure: Callable[[str], None]
+) -> VmAnnouncer | None:
+    if not options.announce_key or options.peers is None:
+        return None
+    entry = VmEntry(
+        host=options.peers.host, port=options.peers.port, data_centre=options.data_centre
+    )
+    return VmAnnouncer(
+        store, key=options.announce_key, value=codec.to_json(entry), on_failure=on_failure
+    )
+
+
 async def open_forwarder(
     options: ForwardOptions,
     *,
@@ -211,7 +278,7 @@
 ) -> Forwarder:
     """Return a running forwarder, owned by `stack`."""
     forwarder = Forwarder(options, store, reader, metrics)
-    stack.push_async_callback(forwarder.book.close)
+    stack.push_async_callback(forwarder.close)
     task = asyncio.get_running_loop().create_task(forwarder.run())
 
     async def stop() -> None:
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -0,0 +1,230 @@
+"""What this VM knows of the store, for peers that can't reach it.
+
+Terms:
+  mirror   the entries that one VM holds, with the store's own revisions, and its latest changes
+  follow   to list and watch a mirror in place of the store
+  in step  the mirror's own following of the store has not failed since its last answer
+
+Flow: the catalogue hands each list and each change to the `Mirror`; the peers' edge answers from
+it. `MirrorStore` is a peer's mirror as a `Store` that can only be read, so that whoever follows the
+store follows a mirror by the same code. A mirror that is not in step says how long it has not been,
+and its reader decides.
+
+Guard: a VM that starts while the store is away, or turned away by it, would know no route and no
+replica, though the VMs beside it know all. What a mirror tells may be old; revisions are the
+store's own, so that nothing older than what the reader has already is ever taken.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Final, TypeVar
+
+import attrs
+
+from berylspindle_model import codec
+from berylspindle_store.store import (
+    Lease,
+    ListResult,
+    Store,
+    StoreAway,
+    StoredValue,
+    WatchResult,
+)
+from berylspindle_wire.client import HttpClient
+from berylspindle_wire.http import HttpRequest, HttpResponse
+from berylspindle_wire.http_client import HttpFailure
+
+T = TypeVar("T")
+
+LIST_PATH: Final = "/mirror/entries"
+WATCH_PATH: Final = "/mirror/changes"
+PACK_TYPE: Final = "application/msgpack"
+
+MOST_CHANGES: Final = 4000
+"""Changes that a mirror keeps; who lags further lists anew."""
+
+MOST_WAIT_S: Final = 5.0
+CALL_S: Final = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class MirrorList:
+    """All entries of a mirror; `behind_ms` is how long it has not been in step."""
+
+    revision: int
+    behind_ms: int
+    entries: tuple[StoredValue, ...]
+
+
+@attrs.frozen(kw_only=True)
+class MirrorChanges:
+    """What changed after a revision; `compacted` where the mirror no longer knows."""
+
+    revision: int
+    behind_ms: int
+    compacted: bool
+    entries: tuple[StoredValue, ...]
+
+
+class Mirror:
+    """The entries that this VM holds."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now: Final = now
+        self._entries: dict[str, StoredValue] = {}
+        self._changes: Final[deque[StoredValue]] = deque(maxlen=MOST_CHANGES)
+        self._oldest = 0
+        self._revision = 0
+        self._behind_since: float | None = now()
+        self._changed = asyncio.Event()
+
+    @property
+    def revision(self) -> int:
+        """Return the store's revision up to which all is known; 0 before anything is."""
+        return self._revision
+
+    def set_listed(self, entries: Iterable[StoredValue], revision: int) -> None:
+        """Take all that there is as of a revision."""
+        if revision < self._revision:
+            return
+        self._entries = {entry.key: entry for entry in entries}
+        self._changes.clear()
+        self._oldest = self._revision = revision
+        self._wake()
+
+    def add(self, entries: Iterable[StoredValue], revision: int) -> None:
+        """Take changes up to a revision."""
+        for entry in entries:
+            if entry.value is None:
+                self._entries.pop(entry.key, None)
+            else:
+                self._entries[entry.key] = entry
+            if len(self._changes) == MOST_CHANGES:
+                self._oldest = self._changes[0].revision
+            self._changes.append(entry)
+        if revision > self._revision:
+            self._revision = revision
+            self._wake()
+
+    def set_in_step(self, in_step: bool) -> None:
+        """Note whether following the store works just now."""
+        if in_step:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = self._now()
+
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        """Answer a peer that lists or follows this mirror."""
+        if request.path == LIST_PATH:
+            return self._packed(
+                MirrorList(
+                    revision=self._revision,
+                    behind_ms=self._behind_ms(),
+                    entries=tuple(self._entries.values()),
+                )
+            )
+        if request.path == WATCH_PATH:
+            return self._packed(await self._watch(request.query))
+        return HttpResponse(status=404)
+
+    async def _watch(self, query: dict[str, str]) -> MirrorChanges:
+        after, wait = int(query.get("after", "0")), float(query.get("wait", "0"))
+        if self._revision <= after:
+            try:
+                async with asyncio.timeout(min(wait, MOST_WAIT_S)):
+                    while self._revision <= after:
+                        await self._changed.wait()
+            except TimeoutError:
+                pass
+        compacted = after < self._oldest
+        return MirrorChanges(
+            revision=max(self._revision, after),
+            behind_ms=self._behind_ms(),
+            compacted=compacted,
+            entries=(
+                ()
+                if compacted
+                else tuple(entry for entry in self._changes if entry.revision > after)
+            ),
+        )
+
+    def _packed(self, message: MirrorList | MirrorChanges) -> HttpResponse:
+        return HttpResponse(
+            status=200, body=codec.to_pack(message), headers={"content-type": PACK_TYPE}
+        )
+
+    def _behind_ms(self) -> int:
+        if self._behind_since is None:
+            return 0
+        return 1 + int((self._now() - self._behind_since) * 1000)
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+
+class MirrorStore(Store):
+    """A peer's mirror, read as the store. `behind_ms` is what it said last of itself."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._client: Final = HttpClient(host, port, limit=2, connect_timeout=0.5)
+        self.behind_ms = 0
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.close()
+
+    async def list(self, prefix: str) -> ListResult:
+        """Return all entries under a prefix."""
+        told: MirrorList = await self._get(LIST_PATH, {}, CALL_S, MirrorList)
+        if not told.revision:
+            raise StoreAway("the mirror knows nothing")
+        self.behind_ms = told.behind_ms
+        found = tuple(entry for entry in told.entries if entry.key.startswith(prefix))
+        return ListResult(revision=told.revision, entries=found)
+
+    async def watch(self, prefix: str, *, after: int, wait: float) -> WatchResult:
+        """Wait for changes under a prefix."""
+        wait = min(wait, MOST_WAIT_S)
+        query = {"after": str(after), "wait": f"{wait:.3f}"}
+        told: MirrorChanges = await self._get(WATCH_PATH, query, wait + CALL_S, MirrorChanges)
+        self.behind_ms = told.behind_ms
+        found = tuple(entry for entry in told.entries if entry.key.startswith(prefix))
+        return WatchResult(revision=told.revision, entries=found, compacted=told.compacted)
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Mirrors are listed and watched only."""
+        raise StoreAway("a mirror is listed and watched only")
+
+    async def compare_and_swap(
+        self, key: str, value: bytes | None, *, expect: int, lease: str | None = None
+    ) -> StoredValue:
+        """Mirrors are never written."""
+        raise StoreAway("a mirror is never written")
+
+    async def grant_lease(self, ttl: float) -> Lease:
+        """Mirrors are never written."""
+        raise StoreAway("a mirror is never written")
+
+    async def keep_alive(self, lease: str) -> Lease:
+        """Mirrors are never written."""
+        raise StoreAway("a mirror is never written")
+
+    async def revoke(self, lease: str) -> None:
+        """Mirrors are never written."""
+        raise StoreAway("a mirror is never written")
+
+    async def _get(self, path: str, query: dict[str, str], timeout: float, kind: type[T]) -> T:
+        try:
+            response = await self._client.get(path, query=query, timeout=timeout)
+        except HttpFailure as failure:
+            raise StoreAway(f"mirror: {failure}") from failure
+        if response.status != 200:
+            raise StoreAway(f"mirror: status {response.status}")
+        try:
+            return codec.from_pack(response.body, kind)
+        except codec.MalformedError as error:
+            raise StoreAway(f"mirror: {error}") from error
--- a/libs/telemetry/berylspindle_telemetry/metric_names.py
+++ b/libs/telemetry/berylspindle_telemetry/metric_names.py
@@ -172,3 +172,6 @@
 )
 REPLICAS_KNOWN: Final = _gauge("replicas_known", "Replicas announced to this VM.")
 ROUTING_VERSION: Final = _gauge("routing_version", "Version of the routing table in force.")
+ANNOUNCE_FAILED: Final = _counter(
+    "announce_failed", "Calls to the store for this VM's own entry that failed."
+)
--- a/tests/platform_adapter/test_entries.py
+++ b/tests/platform_adapter/test_entries.py
@@ -15,6 +15,7 @@
     TableChange,
     Unreadable,
     VmChange,
+    VmEntry,
 )
 from berylspindle_model.routing import Replica, WeightedService
 from berylspindle_store.store import StoredValue
@@ -141,7 +142,10 @@
 def test_other_entries():
     assert read("op/evacuate/north", {}) == OutChange("north", True)
     assert read("op/evacuate/north", None) == OutChange("north", False)
-    assert read("berylspindle/vms/vm-1", b"10.0.0.1:7740") == VmChange("vm-1", "10.0.0.1:7740")
+    entry = VmEntry(host="10.0.0.1", port=7740, data_centre="north")
+    said = {"host": "10.0.0.1", "port": 7740, "data_centre": "north"}
+    assert read("berylspindle/vms/vm-1", said) == VmChange("vm-1", entry)
+    assert isinstance(read("berylspindle/vms/vm-1", b"10.0.0.1"), Unreadable)
     assert read("somebody/else", {}) is None
     assert isinstance(read("op/config", {"version": "7"}), Unreadable)
 
--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import attrs
 from free_ports import free_ports
@@ -30,7 +31,7 @@
 SHARDS = ("s1", "s2", "s3")
 
 
-def configuration(version: int, **changes: object) -> dict[str, object]:
+def configuration(version: int, **changes: object) -> dict[str, Any]:
     route = {
         "name": "merged",
         "host": HOST,
@@ -53,7 +54,7 @@
         "target_latency_ms": 2000,
         "service": "booking",
     }
-    document: dict[str, object] = {"version": version, "routes": [route, plain], "services": []}
+    document: dict[str, Any] = {"version": version, "routes": [route, plain], "services": []}
     return document | changes
 
 
@@ -67,6 +68,8 @@
     ready: HttpClient
     replicas: dict[str, ForwardReplica]
     stack: AsyncExitStack
+    folder: Path
+    control: int
     count: int = 0
 
     async def ask(self, path: str, method: str = "GET", body: bytes = b"") -> HttpResponse:
@@ -98,6 +101,36 @@
         self.kv.put(f"servers/{replica.id}", said | fields)
 
 
+async def start_vm(
+    stack: AsyncExitStack, kv: KvStandin, folder: Path, name: str, seeds: tuple[int, ...] = ()
+) -> tuple[asyncio.subprocess.Process, HttpClient, HttpClient, int]:
+    """Start one VM; return its process, clients of its edges, and its port for peers."""
+    front, ready, metrics, control = free_ports(4)
+    path = folder / f"{name}.toml"
+    known = ", ".join(f'"127.0.0.1:{seed}"' for seed in (control, *seeds))
+    path.write_text(
+        f'node = "{name}"\nzone = "north"\nip = "127.0.0.1"\nmetrics_port = {metrics}\n'
+        f"seeds = [{known}]\n"
+        f'[listen]\nfront = "127.0.0.1:{front}"\nready = "127.0.0.1:{ready}"\n'
+        f'control = "127.0.0.1:{control}"\n'
+        f"[bounds]\ngrace_s = 5\nbudget_slack = 60\n"
+        f'[platform]\naddr = "127.0.0.1:{kv.port}"\n'
+    )
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "berylspindle_adapter.main",
+        env={**os.environ, "BERYLSPINDLE_NODE_FILE": str(path)},
+        stdout=(folder / f"{name}.jsonl").open("wb"),
+        cwd=folder,
+    )
+    stack.push_async_callback(_end, process)
+    clients = [HttpClient("127.0.0.1", port, limit=20) for port in (front, ready)]
+    for one in clients:
+        await stack.enter_async_context(one)
+    return process, clients[0], clients[1], control
+
+
 @asynccontextmanager
 async def open_platform(folder: Path) -> AsyncIterator[Platform]:
     async with AsyncExitStack() as stack:
@@ -108,35 +141,17 @@
                 replica = await start_replica(f"i-{service}-{number}", service, dialect=DIALECT)
                 stack.push_async_callback(replica.close)
                 replicas[replica.id] = replica
-        front, ready, metrics, inner = free_ports(4)
-        path = folder / "node.toml"
-        path.write_text(
-            f'node = "front-1"\nzone = "north"\nip = "127.0.0.1"\n'
-            f"internal_ports = [{inner}, {inner}]\nmetrics_port = {metrics}\n"
-            f'[listen]\nfront = "127.0.0.1:{front}"\nready = "127.0.0.1:{ready}"\n'
-            f"[bounds]\ngrace_s = 5\nbudget_slack = 60\n"
-            f'[platform]\naddr = "127.0.0.1:{kv.port}"\n'
-        )
         kv.put("op/config", configuration(1))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "berylspindle_adapter.main",
-            env={**os.environ, "BERYLSPINDLE_NODE_FILE": str(path)},
-            stdout=(folder / "log.jsonl").open("wb"),
-            cwd=folder,
-        )
-        stack.push_async_callback(_end, process)
-        clients = [HttpClient("127.0.0.1", port, limit=20) for port in (front, ready)]
-        for one in clients:
-            await stack.enter_async_context(one)
+        process, client, ready, control = await start_vm(stack, kv, folder, "front-1")
         platform = Platform(
             kv=kv,
             process=process,
-            client=clients[0],
-            ready=clients[1],
+            client=client,
+            ready=ready,
             replicas=replicas,
             stack=stack,
+            folder=folder,
+            control=control,
         )
         for replica in replicas.values():
             platform.announce(replica)
@@ -165,9 +180,7 @@
         leaving = platform.replicas["i-booking-0"]
         platform.announce(leaving, state="draining")
         platform.kv.put("servers/i-broken", b"\xff\x00")
-        routes = configuration(2)["routes"]
-        assert isinstance(routes, list)
-        platform.kv.put("op/config", configuration(2, routes=routes[1:]))
+        platform.kv.put("op/config", configuration(2, routes=configuration(2)["routes"][1:]))
         async with asyncio.timeout(5):
             while (await platform.ask("/lots/2")).status != 404:  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
@@ -204,6 +217,51 @@
         assert (await platform.ask("/booking/9", "POST", b"{}")).status == 503
 
 
+async def test_a_vm_that_starts_while_the_store_is_away_learns_all_from_its_peers(
+    tmp_path: Path,
+) -> None:
+    """A VM that is replaced during an outage of the store serves nobody until the outage ends."""
+    async with open_platform(tmp_path) as platform:
+        await platform.until_ready()
+        platform.kv.outage = "reset"
+        platform.kv.cut()
+        _, client, ready, _ = await start_vm(
+            platform.stack, platform.kv, tmp_path, "front-2", seeds=(platform.control,)
+        )
+        platform.client, platform.ready = client, ready
+        await platform.until_ready()
+        assert (await platform.ask("/lots/1")).status == 200
+        platform.kv.outage = ""
+        platform.kv.put("op/config", configuration(2, routes=configuration(2)["routes"][1:]))
+        async with asyncio.timeout(8):
+            while (await platform.ask("/lots/2")).status != 404:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+
+
+async def test_a_vm_that_the_store_turns_away_follows_its_peers(tmp_path: Path) -> None:
+    """A VM goes on with old routes while its neighbours follow the operator's changes.
+
+    The store turns this one VM away, as its stand-in does on a port of its own.
+    """
+    async with open_platform(tmp_path) as platform:
+        await platform.until_ready()
+        turned_away = KvStandin(rev=platform.kv.rev, items=platform.kv.items)
+        server = await asyncio.start_server(turned_away.serve, "127.0.0.1", 0)
+        turned_away.port = server.sockets[0].getsockname()[1]
+        turned_away.outage = "503"
+        _, client, ready, _ = await start_vm(
+            platform.stack, turned_away, tmp_path, "front-2", seeds=(platform.control,)
+        )
+        platform.client, platform.ready = client, ready
+        await platform.until_ready()
+        assert (await platform.ask("/lots/1")).status == 200
+        platform.kv.put("op/config", configuration(2, routes=configuration(2)["routes"][1:]))
+        async with asyncio.timeout(5):
+            while (await platform.ask("/lots/2")).status != 404:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+        server.close()
+
+
 async def test_on_sigterm_a_vm_is_unready_at_once_and_answers_all_that_comes(
     tmp_path: Path,
 ) -> None:
