--- a/libs/forwarding/berylspindle_forwarding/drive.py
+++ b/libs/forwarding/berylspindle_forwarding/drive.py
@@ -97,7 +97,7 @@
         self._request: Final = request
         self._times: Final = times
         self._guide: Final = ServiceGuide(tools, route, times)
-        patient_until = times.started + PATIENCE_S
+        patient_until = tools.now() + PATIENCE_S
         self._races: Final = [
             AttemptRace(
                 service,
--- a/libs/forwarding/berylspindle_forwarding/forward_daemon.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_daemon.py
@@ -25,6 +25,7 @@
 import asyncio
 import contextlib
 import signal
+import socket
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from typing import Final
@@ -64,7 +65,7 @@
     """The edges of one daemon.
 
     Attributes:
-        callers: where callers' requests arrive.
+        callers: where callers' requests arrive; `bound` is a socket that listens there already.
         ready: where the balancer asks, or None; `ready_path` is what it asks for.
         metrics: where metrics are read, or None; `metrics_path` likewise.
         peers: where other VMs read this one's mirror, or None.
@@ -73,6 +74,7 @@
     """
 
     callers: Endpoint
+    bound: socket.socket | None = None
     ready: Endpoint | None = None
     ready_path: str = "/readyz"
     metrics: Endpoint | None = None
@@ -105,6 +107,7 @@
             on_fault=self._on_fault,
             read=read_raw_head,
             refuse=lambda refusal: refusal_reply(refusal, dialect.request_id, b""),
+            bound=self._edges.bound,
         )
         self._stack.push_async_callback(self._callers.close, 0.0)
         self._forwarder.on_limits = self._set_limits
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -30,6 +30,12 @@
 NOT_READY_MS: Final = 200
 """When a caller may come back to a VM that knows no routes yet; its start takes some tenths."""
 
+START_PATIENCE_S: Final = 1.5
+START_SHARE: Final = 0.5
+"""How long a request waits for the first routing table, and for which part of its time at most.
+Callers reach a VM that is just starting because others are gone too; told to come back, they spend
+one of their few tries, and the table is there within some tenths of a second."""
+
 
 class Front:
     """Answer callers' forwarded requests."""
@@ -37,6 +43,7 @@
     def __init__(self, tools: ForwardTools) -> None:
         self._tools: Final = tools
         self._table: RoutingTable | None = None
+        self._table_known: Final = asyncio.Event()
         self._turns: dict[str, tuple[Route, WeightedTurns]] = {}
         self._in_flight = 0
         self._log: Final = logger("request")
@@ -51,6 +58,7 @@
     def set_table(self, table: RoutingTable) -> None:
         """Serve by a new table from the next request on."""
         self._table = table
+        self._table_known.set()
 
     async def drained(self) -> None:
         """Wait until no request is under way."""
@@ -63,6 +71,8 @@
         self._idle.clear()
         try:
             forward = read_forward(request, self._tools.dialect)
+            if self._table is None:
+                await self._await_table(forward)
             route = self._route(forward)
             if isinstance(route, Refusal):
                 self._count("-", route.kind.value)
@@ -82,6 +92,17 @@
             if not self._in_flight:
                 self._idle.set()
 
+    async def _await_table(self, forward: ForwardRequest) -> None:
+        patience = START_PATIENCE_S
+        if forward.left_ms is not None:
+            patience = min(patience, START_SHARE * forward.left_ms / 1000)
+        try:
+            async with asyncio.timeout(patience):
+                await self._table_known.wait()
+        except TimeoutError:
+            # The request is refused as not run, with a time to come back.
+            return
+
     def _route(self, forward: ForwardRequest) -> Route | Refusal:
         if self._table is None:
             return Refusal(ErrorKind.NOT_READY, retry_after_ms=NOT_READY_MS)
--- a/libs/wire/berylspindle_wire/acceptor.py
+++ b/libs/wire/berylspindle_wire/acceptor.py
@@ -159,8 +159,19 @@
     tls: ssl.SSLContext | None = None,
     handshake_timeout: float | None = None,
     on_fault: OnFault,
+    bound: socket.socket | None = None,
 ) -> Acceptor:
-    """Bind host and port and accept from now on; raises OSError where they can't be bound."""
+    """Bind host and port and accept from now on; raises OSError where they can't be bound.
+
+    `bound` is a socket that listens already and is taken over.
+    """
+    ports = [bound] if bound is not None else _bind_all(host, port)
+    return Acceptor(
+        ports, protocol, tls=tls, handshake_timeout=handshake_timeout, on_fault=on_fault
+    )
+
+
+def _bind_all(host: str, port: int) -> list[socket.socket]:
     with ExitStack() as undo:
         ports: list[socket.socket] = []
         found = socket.getaddrinfo(
@@ -176,9 +187,7 @@
             listening.setblocking(False)
             ports.append(listening)
         undo.pop_all()
-    return Acceptor(
-        ports, protocol, tls=tls, handshake_timeout=handshake_timeout, on_fault=on_fault
-    )
+    return ports
 
 
 def _bind(listening: socket.socket, address: tuple[Any, ...]) -> None:
--- a/libs/wire/berylspindle_wire/http_server.py
+++ b/libs/wire/berylspindle_wire/http_server.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import ssl
 from collections.abc import Callable
 from contextlib import AsyncExitStack
@@ -115,7 +116,9 @@
     ) -> None:
         await self.close()
 
-    async def _listen(self, host: str, port: int, tls: ssl.SSLContext | None) -> None:
+    async def _listen(
+        self, host: str, port: int, tls: ssl.SSLContext | None, bound: socket.socket | None
+    ) -> None:
         self._acceptor = listen(
             host,
             port,
@@ -123,6 +126,7 @@
             tls=tls,
             handshake_timeout=None if tls is None else self._rules.limits.read_timeout,
             on_fault=self._rules.on_fault,
+            bound=bound,
         )
         self._port = self._acceptor.port
         self._stack.callback(self._acceptor.abort)
@@ -165,16 +169,17 @@
     on_fault: OnFault = _ignore,
     read: Callable[[h11.Request], HttpRequest] = read_head,
     refuse: Callable[[Refusal], HttpResponse] = refusal_response,
+    bound: socket.socket | None = None,
 ) -> HttpServer:
     """Listen on host and port and call `handler` for each request.
 
     `on_fault` is told of every exception of the handler that isn't a RefusalError; the caller is
-    answered INTERNAL. `read` and `refuse` are as in `SessionRules`. Raises OSError where the
-    address can't be bound.
+    answered INTERNAL. `read` and `refuse` are as in `SessionRules`. `bound` is a socket that
+    listens already, in place of host and port. Raises OSError where the address can't be bound.
     """
     rules = SessionRules(
         handler=handler, limits=limits, on_fault=on_fault, read=read, refuse=refuse
     )
     server = HttpServer(rules)
-    await server._listen(host, port, tls)
+    await server._listen(host, port, tls, bound)
     return server
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -60,6 +60,16 @@
         assert 0 < float(told.headers["retry-after"]) < 1
 
 
+async def test_a_request_that_comes_while_a_vm_starts_waits_for_its_first_table():
+    """After a loss of power callers spend their one other try on VMs that answer "not ready"."""
+    async with open_site() as site:
+        asking = asyncio.create_task(site.ask("/booking/1"))
+        await asyncio.sleep(0.1)
+        await site.replica("r1", "booking")
+        site.route(plain_route())
+        assert (await asking).status == 200
+
+
 async def test_what_a_replica_is_told_of_the_time_is_what_is_left():
     """A replica works for a caller that has long left, since each hop hands on its own time-out."""
     async with open_site() as site:
--- a/tests/platform_adapter/test_entries.py
+++ b/tests/platform_adapter/test_entries.py
@@ -8,7 +8,8 @@
 import pytest
 
 from berylspindle_adapter.entry_reader import PlatformReader
-from berylspindle_adapter.node_settings import SettingsError, read_settings
+from berylspindle_adapter.node_file import SettingsError, callers_address, read_fields
+from berylspindle_adapter.node_settings import NodeSettings, settings_from
 from berylspindle_forwarding.catalogue import (
     OutChange,
     ReplicaChange,
@@ -167,10 +168,17 @@
 """
 
 
+def load(path: Path) -> NodeSettings:
+    fields = read_fields({"BERYLSPINDLE_NODE_FILE": str(path)})
+    callers_address(fields)
+    return settings_from(fields)
+
+
 def test_settings_become_options(tmp_path: Path):
     path = tmp_path / "node.toml"
     path.write_text(SETTINGS)
-    settings = read_settings({"BERYLSPINDLE_NODE_FILE": str(path)})
+    settings = load(path)
+    assert settings.edges.callers.port == 8226
     assert (settings.forward.vm, settings.forward.data_centre) == ("front-1", "north")
     assert settings.forward.extra.ratio == 0.25
     assert settings.edges.grace_s == 5
@@ -183,13 +191,14 @@
         ("node = ", "node.toml"),
         (SETTINGS.replace('zone = "north"', ""), "zone"),
         (SETTINGS.replace("127.0.0.1:8229", "nowhere"), "missing or malformed"),
+        (SETTINGS.replace("127.0.0.1:8226", "nowhere"), "listen.front"),
     ],
 )
 def test_settings_that_cannot_be_used_are_said_in_one_line(tmp_path: Path, text: str, named: str):
     path = tmp_path / "node.toml"
     path.write_text(text)
     with pytest.raises(SettingsError, match=named) as caught:
-        read_settings({"BERYLSPINDLE_NODE_FILE": str(path)})
+        load(path)
     assert "\n" not in str(caught.value)
     with pytest.raises(SettingsError):
-        read_settings({})
+        read_fields({})
