Be unready while cut off from the other data centres

Ruled out: faster refusals alone; their callers came back to a VM that was cut off too. Change: a VM learns from its own attempts which data centres are dark; with two of them dark and none heard it is unready unless all routes can be served at home, refuses what it can't answer with the time at which the balancer sends elsewhere, asks connections to go, and probes peers until one answers. Tried on the way: one dark data centre as the sign made a VM with little to do elsewhere turn callers away, nine times in five seconds; it takes two now.

--- /dev/null
+++ b/libs/decisions/berylspindle_decisions/reach.py
@@ -0,0 +1,85 @@
+"""Which other data centres this VM reaches just now, and whether it is cut off from all of them.
+
+Pattern of load: a data centre is cut off from the others for some seconds, and callers still reach
+its VMs. A quarter of the shards have no replica in it. Its VMs send what they can't answer to
+replicas that they can't reach, and callers wait until their deadlines; a balancer that saw the VMs
+unready would have sent them to another data centre.
+
+Terms:
+  heard   a reply or a new connection of a replica or VM of a data centre
+  dark    tried for some time, and not heard since
+  cut off two data centres are dark, or the only other one, and none was heard within that time
+
+Flow: `tried` and `heard` follow every attempt; `is_dark` and `is_cut_off` are asked before each
+choice and by the readiness of this VM.
+
+Thresholds: `DARK_AFTER` of 0.4 s is ten times what an answer takes and over twice a replica's
+pause; a data centre in which all replicas are ten times as slow still answers within it. `TRIES` of
+3 keeps a single lost packet, or one crashed replica, from darkening a data centre. A wrong alarm
+ends with the next answer from outside, and a balancer that asks every second and counts two misses
+does not see one that short.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Final
+
+import attrs
+
+DARK_AFTER: Final = 0.4
+TRIES: Final = 3
+
+
+@attrs.define
+class _Reached:
+    heard_at: float = -math.inf
+    tried_since: float = math.inf
+    tries: int = 0
+
+
+class Reach:
+    """What one VM knows of its ways to other data centres; times are seconds of its clock."""
+
+    def __init__(self, own: str) -> None:
+        self._own: Final = own
+        self._others: dict[str, _Reached] = {}
+        self._heard_at = -math.inf
+
+    def tried(self, now: float, data_centre: str) -> None:
+        """Note an attempt at something in a data centre."""
+        if data_centre == self._own:
+            return
+        reached = self._others.setdefault(data_centre, _Reached())
+        if not reached.tries:
+            reached.tried_since = now
+        reached.tries += 1
+
+    def heard(self, now: float, data_centre: str) -> None:
+        """Note a sign of life from a data centre."""
+        if data_centre == self._own:
+            return
+        reached = self._others.setdefault(data_centre, _Reached())
+        reached.heard_at = self._heard_at = now
+        reached.tries = 0
+        reached.tried_since = math.inf
+
+    def is_dark(self, now: float, data_centre: str) -> bool:
+        """Tell whether a data centre has been tried for some time and not heard since."""
+        reached = self._others.get(data_centre)
+        if reached is None:
+            return False
+        return reached.tries >= TRIES and now - reached.tried_since >= DARK_AFTER
+
+    def is_cut_off(self, now: float) -> bool:
+        """Tell whether no other data centre is reached."""
+        if now - self._heard_at < DARK_AFTER:
+            return False
+        # One that is dark may be the one that is cut off, while the others are seldom tried.
+        dark = sum(self.is_dark(now, name) for name in self._others)
+        return dark >= min(2, max(1, len(self._others)))
+
+    @property
+    def others(self) -> tuple[str, ...]:
+        """Return the other data centres that were ever tried or heard."""
+        return tuple(self._others)
--- a/libs/forwarding/berylspindle_forwarding/attempt_guide.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_guide.py
@@ -20,6 +20,7 @@
 from berylspindle_decisions.attempt_race import RaceGuide
 from berylspindle_decisions.extra_share import ExtraBounds, ExtraShare
 from berylspindle_decisions.latency_profile import LatencyProfile
+from berylspindle_decisions.reach import Reach
 from berylspindle_forwarding.dialect import HOP_HEADERS, Dialect
 from berylspindle_forwarding.replica_book import ReplicaBook, ReplicaHandle
 from berylspindle_forwarding.reply_check import ReplyClass
@@ -31,6 +32,11 @@
 if TYPE_CHECKING:
     from berylspindle_forwarding.drive import Attempt
 
+PATIENCE_S: Final = 0.25
+"""Seconds for which a service without a usable replica is waited for: a replica that has just gone
+is mostly replaced within them, and a caller that is told to come back waits as long. A VM that is
+cut off says so at once."""
+
 RETRY_AFTER_MS: Final = 300
 """When a caller may come back to a service without a usable replica: a replica that has crashed is
 back, or its absence known, within some of these."""
@@ -41,10 +47,12 @@
     """What all requests of one VM share."""
 
     book: ReplicaBook
+    reach: Reach
     dialect: Dialect
     metrics: Metrics
     now: Callable[[], float]
     vms: Callable[[], int]
+    until_elsewhere: Callable[[float], float]
     bounds: ExtraBounds
     started: float
     shares: dict[str, ExtraShare] = attrs.field(factory=dict)
@@ -118,6 +126,7 @@
     def note_sent(self, now: float, attempt: Attempt, reason: str) -> None:
         """Note an attempt that goes out."""
         attempt.handle.standing.sent(attempt, late_at=attempt.record.hedge_at)
+        self._tools.reach.tried(now, attempt.handle.replica.data_centre)
         if now < attempt.handle.standing.cold_until:
             attempt.handle.note_cold_send(now)
         self._tools.metrics.count(names.FORWARD_ATTEMPTS, reason=reason)
@@ -142,6 +151,7 @@
     ) -> None:
         """Learn from a whole reply."""
         standing = attempt.handle.standing
+        self._tools.reach.heard(now, attempt.handle.replica.data_centre)
         self._tools.metrics.count(names.FORWARD_REPLIES, kind=verdict.value)
         if verdict in (ReplyClass.ANSWER, ReplyClass.FINAL):
             usual = self._hedge_times().usual_ms
@@ -167,10 +177,28 @@
         usual = self._hedge_times().usual_ms
         attempt.handle.standing.given_up(now, attempt, ratio=elapsed_ms / max(usual, 0.1))
 
+    def is_hopeless(self) -> bool:
+        """Tell whether this VM is cut off from too many of the route's shards for an answer."""
+        shard_set = self._route.shard_set
+        if shard_set is None or not self._tools.reach.is_cut_off(self._tools.now()):
+            return False
+        return sum(map(self._tools.book.has_at_home, shard_set.shards)) < shard_set.least
+
+    def patience_s(self) -> float:
+        """Return how long a service without a usable replica is waited for."""
+        return 0.0 if self._tools.reach.is_cut_off(self._tools.now()) else PATIENCE_S
+
     def retry_after_ms(self, now: float) -> int:
-        """Return when a caller that was refused unrun may come back."""
+        """Return when a caller that was refused unrun may come back.
+
+        Where this VM is cut off, when the balancer sends it to another data centre: sooner it would
+        spend one of its few tries on a VM that is cut off too.
+        """
         left_ms = (self._times.deadline - now) * 1000
-        return int(max(0.0, min(RETRY_AFTER_MS, left_ms / 3)))
+        wait_ms: float = RETRY_AFTER_MS
+        if self._tools.reach.is_cut_off(now):
+            wait_ms = self._tools.until_elsewhere(now) * 1000
+        return int(max(0.0, min(wait_ms, left_ms / 3)))
 
     def end_to_end(self, reply: ExchangeReply) -> tuple[tuple[bytes, bytes], ...]:
         """Return the headers of a reply that are not of its hop."""
--- a/libs/forwarding/berylspindle_forwarding/drive.py
+++ b/libs/forwarding/berylspindle_forwarding/drive.py
@@ -49,10 +49,6 @@
 """Seconds past the deadline after which an attempt that nobody waits for is ended; replicas stop at
 the deadline by themselves."""
 
-PATIENCE_S: Final = 0.25
-"""Seconds for which a service without a usable replica is waited for: a replica that has just gone
-is mostly replaced within them, and a caller that is told to come back waits as long."""
-
 
 class Attempt(ExchangeSink):
     """One attempt of a drive."""
@@ -97,7 +93,7 @@
         self._request: Final = request
         self._times: Final = times
         self._guide: Final = ServiceGuide(tools, route, times)
-        patient_until = tools.now() + PATIENCE_S
+        patient_until = tools.now() + self._guide.patience_s()
         self._races: Final = [
             AttemptRace(
                 service,
@@ -123,6 +119,14 @@
 
     async def run(self) -> HttpResponse | Refusal:
         """Return the answer or the refusal; cancelling this ends all attempts."""
+        if self._guide.is_hopeless():
+            # Asked all the same, the shards that can be reached would work for nothing.
+            return Refusal(
+                ErrorKind.NO_REPLICA,
+                "cut off from too many shards",
+                RunState.NOT_RUN,
+                retry_after_ms=self._guide.retry_after_ms(self._tools.now()),
+            )
         try:
             self._busy = True
             for index in range(len(self._races)):
--- a/libs/forwarding/berylspindle_forwarding/forward_daemon.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_daemon.py
@@ -111,6 +111,7 @@
         )
         self._stack.push_async_callback(self._callers.close, 0.0)
         self._forwarder.on_limits = self._set_limits
+        self._forwarder.on_cut_off = self._callers.ask_to_go
         if self._edges.peers is not None:
             await self._serve_page(self._edges.peers, self._forwarder.mirror.answer)
         if self._edges.ready is not None:
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -16,6 +16,7 @@
 import attrs
 
 from berylspindle_decisions.extra_share import ExtraBounds
+from berylspindle_decisions.reach import Reach
 from berylspindle_forwarding.attempt_guide import ForwardTools
 from berylspindle_forwarding.catalogue import (
     Catalogue,
@@ -33,6 +34,7 @@
 from berylspindle_forwarding.follow_choice import FollowChoice, MirrorAddress
 from berylspindle_forwarding.front import Front
 from berylspindle_forwarding.mirror import Mirror
+from berylspindle_forwarding.outside import Outside
 from berylspindle_forwarding.replica_book import ColdBounds, ReplicaBook
 from berylspindle_forwarding.replica_pool import PoolOptions
 from berylspindle_forwarding.vm_announcer import VmAnnouncer
@@ -86,6 +88,8 @@
         self._store_reached: bool | None = None
         self.table_version = 0
         self.on_limits: Callable[[HttpLimits], None] = lambda limits: None
+        self._reach: Final = Reach(options.data_centre)
+        self.on_cut_off: Callable[[bool], None] = lambda cut_off: None
         self.book: Final = ReplicaBook(
             data_centre=options.data_centre,
             now=loop.time,
@@ -93,18 +97,30 @@
             vms=self._vm_count,
             pool_options=options.pool,
             cold=options.cold,
+            reach=self._reach,
             on_opened=lambda: metrics.count(names.FORWARD_CONNECTIONS, reason="needed"),
         )
         self._tools: Final = ForwardTools(
             book=self.book,
+            reach=self._reach,
             dialect=options.dialect,
             metrics=metrics,
             now=loop.time,
             vms=self._vm_count,
+            until_elsewhere=lambda now: self._outside.until_elsewhere(now),
             bounds=options.extra,
             started=loop.time(),
         )
         self.front: Final = Front(self._tools)
+        self._outside: Final = Outside(
+            self._reach,
+            self.book,
+            data_centre=options.data_centre,
+            vms=lambda: tuple(self._vms.values()),
+            table=lambda: self.front.table,
+            now=loop.time,
+            on_change=self._note_cut_off,
+        )
         self.mirror: Final = Mirror(loop.time)
         self._choice: Final = FollowChoice(
             store, mirrors=self._mirrors, now=loop.time, dice=random.Random()
@@ -126,6 +142,8 @@
             return Refusal(ErrorKind.SHUTTING_DOWN)
         if not self._listed or self.table_version == 0:
             return Refusal(ErrorKind.NOT_READY)
+        if self._outside.is_cut_off:
+            return Refusal(ErrorKind.NO_REPLICA, "cut off from the other data centres")
         return None
 
     def begin_shutdown(self) -> None:
@@ -136,6 +154,7 @@
         """Follow the catalogue, and keep this VM announced, until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._catalogue.run())
+            tasks.create_task(self._outside.run())
             if self._announcer is not None:
                 tasks.create_task(self._announcer.run())
 
@@ -214,6 +233,11 @@
             },
         )
 
+    def _note_cut_off(self, cut_off: bool) -> None:
+        self._metrics.gauge(names.CUT_OFF, int(cut_off))
+        self._log.warning("cut off from other data centres" if cut_off else "no longer cut off")
+        self.on_cut_off(cut_off)
+
     def _take_vm(self, change: VmChange) -> None:
         if change.vm is not None:
             self._vms[change.id] = change.vm
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -50,6 +50,11 @@
         self._idle: Final = asyncio.Event()
         self._idle.set()
 
+    @property
+    def table(self) -> RoutingTable | None:
+        """Return the routing table in force."""
+        return self._table
+
     @property
     def in_flight(self) -> int:
         """Return how many requests are under way."""
--- a/libs/forwarding/berylspindle_forwarding/replica_book.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_book.py
@@ -24,6 +24,7 @@
 
 import attrs
 
+from berylspindle_decisions.reach import Reach
 from berylspindle_decisions.replica_standing import STALLED, Standing
 from berylspindle_forwarding.replica_pool import PoolOptions, ReplicaPool
 from berylspindle_model.routing import Replica, RoutingTable
@@ -79,8 +80,10 @@
         vms: Callable[[], int],
         pool_options: PoolOptions,
         cold: ColdBounds,
+        reach: Reach,
         on_opened: Callable[[], None],
     ) -> None:
+        self._reach: Final = reach
         self._data_centre: Final = data_centre
         self._now: Final = now
         self._u: Final = u
@@ -157,17 +160,28 @@
             )
         return found
 
+    def has_at_home(self, service: str) -> bool:
+        """Tell whether a service has a usable replica in this VM's data centre."""
+        return any(h.replica.data_centre == self._data_centre for h in self.usable(service))
+
     def pick(self, service: str, *, tried: frozenset[str], hedge: bool) -> ReplicaHandle | None:
         """Return the replica of least cost that was not tried, or None.
 
         A hedge only goes to a replica that answers just now: it would wait beside the first
-        attempt, and neither would come.
+        attempt, and neither would come. A replica in a dark data centre counts as stalled, though
+        it was not asked itself; while this VM is cut off it is not asked at all.
         """
         now, best, best_cost = self._now(), None, float("inf")
+        cut_off = self._reach.is_cut_off(now)
         for handle in self.usable(service):
             if handle.replica.id in tried or self._is_full(handle, now):
                 continue
             cost = handle.standing.cost(now, u=self._u())
+            if handle.replica.data_centre != self._data_centre:
+                if cut_off:
+                    continue
+                if self._reach.is_dark(now, handle.replica.data_centre):
+                    cost += STALLED
             if cost < best_cost:
                 best, best_cost = handle, cost
         if hedge and best_cost >= STALLED:
@@ -193,10 +207,14 @@
             replica.port,
             limit=self._limit(replica),
             options=self._pool_options,
-            on_opened=self._on_opened,
+            on_opened=lambda: self._note_opened(replica),
         )
         return ReplicaHandle(replica, standing, pool)
 
+    def _note_opened(self, replica: Replica) -> None:
+        self._reach.heard(self._now(), replica.data_centre)
+        self._on_opened()
+
     def _limit(self, replica: Replica) -> int:
         most = self._table.rules(replica.service).max_connections if self._table else 8
         return max(1, int(most * CONNECTION_SHARE / self._vms()))
--- a/libs/telemetry/berylspindle_telemetry/metric_names.py
+++ b/libs/telemetry/berylspindle_telemetry/metric_names.py
@@ -175,3 +175,4 @@
 ANNOUNCE_FAILED: Final = _counter(
     "announce_failed", "Calls to the store for this VM's own entry that failed."
 )
+CUT_OFF: Final = _gauge("cut_off", "1 while this VM reaches no other data centre and needs one.")
--- a/libs/wire/berylspindle_wire/http_server.py
+++ b/libs/wire/berylspindle_wire/http_server.py
@@ -79,6 +79,10 @@
         """Change the bounds; what connections hold of the old ones ends with them."""
         self._rules.limits = limits
 
+    def ask_to_go(self, on: bool) -> None:
+        """Ask peers to go, or no longer: `Connection: close` while it lasts, nothing is closed."""
+        self._rules.asking_to_go = on
+
     def begin_drain(self) -> None:
         """Ask peers to go: `Connection: close` from now on, idle connections closed soon."""
         self._rules.draining = True
--- a/libs/wire/berylspindle_wire/http_session.py
+++ b/libs/wire/berylspindle_wire/http_session.py
@@ -50,13 +50,15 @@
 class SessionRules:
     """What all sessions of one server share; `draining` changes once, from False to True.
 
-    `read` turns a parsed head into a request, `refuse` a refusal into a response.
+    `asking_to_go` has each response close its connection, for a while. `read` turns a parsed head
+    into a request, `refuse` a refusal into a response.
     """
 
     handler: Handler
     limits: HttpLimits
     on_fault: Callable[[BaseException], None]
     draining: bool = False
+    asking_to_go: bool = False
     read: Callable[[h11.Request], HttpRequest] = read_head
     refuse: Callable[[Refusal], HttpResponse] = refusal_response
 
@@ -248,7 +250,8 @@
         self._handling = True  # Stays so where the handler is cancelled; see `_run`.
         response = await self._answer(request)
         self._handling = False
-        if not self._write(response, close=response.close or self._rules.draining):
+        close = response.close or self._rules.draining or self._rules.asking_to_go
+        if not self._write(response, close=close):
             return False
         if not self._writable.is_set():
             await self._writable.wait()
--- /dev/null
+++ b/tests/decisions/test_load_reach.py
@@ -0,0 +1,86 @@
+"""Whether a VM is cut off from other data centres, told from its own attempts."""
+
+from __future__ import annotations
+
+from berylspindle_decisions.reach import DARK_AFTER, TRIES, Reach
+
+
+def trying(reach: Reach, start: float, end: float, *names: str) -> None:
+    """Try each data centre ten times a second."""
+    now = start
+    while now < end:
+        for name in names:
+            reach.tried(now, name)
+        now += 0.1
+
+
+def test_a_vm_whose_attempts_elsewhere_all_go_unheard_is_cut_off() -> None:
+    """A data centre is cut off; its VMs go on sending to replicas that they can't reach."""
+    reach = Reach("a")
+    for name in "bcd":
+        reach.heard(0.0, name)
+    trying(reach, 0.0, 0.35, "b", "c")
+    assert not reach.is_cut_off(0.35)
+    trying(reach, 0.4, 0.6, "b", "c")
+    assert reach.is_cut_off(0.5)
+    # One answer from anywhere else ends it, also from where nothing was tried.
+    reach.heard(0.55, "d")
+    assert not reach.is_cut_off(0.6)
+    assert reach.is_dark(0.6, "b")
+
+
+def test_one_data_centre_that_is_gone_is_dark_and_the_vm_is_not_cut_off() -> None:
+    reach = Reach("a")
+    for tenth in range(20):
+        now = tenth / 10
+        reach.tried(now, "b")
+        reach.tried(now, "c")
+        reach.heard(now + 0.02, "c")
+        assert not reach.is_cut_off(now + 0.05)
+    assert reach.is_dark(1.9, "b")
+    assert not reach.is_dark(1.9, "c")
+
+
+def test_a_vm_with_little_to_do_elsewhere_is_not_cut_off_by_the_cut_of_another() -> None:
+    """A VM turns its callers away since one data centre is cut off and it asks no other just then.
+
+    It has just started, prefers its own data centre, and hears from one other now and then.
+    """
+    reach = Reach("a")
+    for name in "bd":
+        reach.heard(0.0, name)
+    for tenth in range(10, 60):
+        now = tenth / 10
+        reach.tried(now, "c")
+        if tenth % 15 == 0:
+            reach.tried(now, "b")
+            reach.heard(now + 0.02, "b")
+        assert not reach.is_cut_off(now)
+
+
+def test_a_vm_that_knows_one_other_data_centre_is_cut_off_with_that() -> None:
+    reach = Reach("a")
+    reach.heard(0.0, "b")
+    trying(reach, 0.0, 1.0, "b")
+    assert reach.is_cut_off(1.0)
+
+
+def test_a_slow_or_seldom_tried_data_centre_is_not_dark() -> None:
+    """Replicas ten times as slow, or one lost packet, make a VM turn all its callers away."""
+    reach = Reach("a")
+    for tenth in range(40):
+        now = tenth / 10
+        reach.tried(now, "slow")
+        reach.heard(now + 0.3, "slow")
+    assert not reach.is_cut_off(4.0)
+    seldom = Reach("a")
+    for number in range(TRIES - 1):
+        seldom.tried(float(number), "b")
+    assert not seldom.is_cut_off(float(TRIES) + DARK_AFTER)
+
+
+def test_nothing_of_the_own_data_centre_counts() -> None:
+    reach = Reach("a")
+    trying(reach, 0.0, 5.0, "a")
+    assert not reach.is_cut_off(5.0)
+    assert reach.others == ()
