--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -37,6 +37,10 @@
 the store costs, and a release changes tens of entries one by one. The bounds on following a change
 are ten times as long."""
 
+COLLECT_UNUSED_S: Final = 1.5
+"""The same while this VM has had no request of a caller for some seconds, as right after its start,
+when all replicas announce themselves."""
+
 SETTLE_S: Final = 2.5
 RETRY_FIRST_S: Final = 0.2
 RETRY_MOST_S: Final = 2.0
@@ -141,6 +145,7 @@
         listener: CatalogueListener,
         mirror: Mirror,
         *,
+        is_used: Callable[[], bool],
         now: Callable[[], float],
         u: Callable[[], float],
     ) -> None:
@@ -148,6 +153,7 @@
         self._reader: Final = reader
         self._listener: Final = listener
         self._mirror: Final = mirror
+        self._is_used: Final = is_used
         self._now: Final = now
         self._u: Final = u
         self._known: dict[str, int] = {}
@@ -172,7 +178,7 @@
                 continue
             pause = RETRY_FIRST_S
             if not followed.is_mirror:
-                await asyncio.sleep(COLLECT_S)
+                await asyncio.sleep(COLLECT_S if self._is_used() else COLLECT_UNUSED_S)
 
     async def _step(self, followed: Followed, after: int | None) -> int | None:
         if after is None:
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -46,6 +46,9 @@
 from berylspindle_telemetry.metrics import Metrics
 from berylspindle_wire.http import HttpLimits
 
+USED_S: Final = 5.0
+"""Seconds after a caller's request in which this VM counts as used."""
+
 
 @attrs.frozen(kw_only=True)
 class ForwardOptions:
@@ -126,7 +129,13 @@
             store, mirrors=self._mirrors, now=loop.time, dice=random.Random()
         )
         self._catalogue: Final = Catalogue(
-            self._choice, reader, self, self.mirror, now=loop.time, u=random.random
+            self._choice,
+            reader,
+            self,
+            self.mirror,
+            is_used=self._is_used,
+            now=loop.time,
+            u=random.random,
         )
         self._announcer: Final = _announcer(options, store, self._on_announce_failed)
         metrics.gauge_function(names.REPLICAS_KNOWN, lambda: len(self.book))
@@ -275,6 +284,9 @@
     def _note_unreadable(self, change: Unreadable) -> None:
         self._log.warning("entry names nothing", extra={"key": change.key, "reason": change.reason})
 
+    def _is_used(self) -> bool:
+        return asyncio.get_running_loop().time() - self.front.last_request < USED_S
+
     def _vm_count(self) -> int:
         return max(len(self._vms), self._options.expected_vms)
 
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -46,6 +46,7 @@
         self._table_known: Final = asyncio.Event()
         self._turns: dict[str, tuple[Route, WeightedTurns]] = {}
         self._in_flight = 0
+        self.last_request = float("-inf")
         self._log: Final = logger("request")
         self._idle: Final = asyncio.Event()
         self._idle.set()
@@ -71,7 +72,7 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
-        started = self._tools.now()
+        started = self.last_request = self._tools.now()
         self._in_flight += 1
         self._idle.clear()
         try:
--- a/libs/forwarding/berylspindle_forwarding/replica_pool.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_pool.py
@@ -31,6 +31,10 @@
     open_exchanges,
 )
 
+ASK_AFTER_S: Final = 0.5
+"""Seconds of idleness after which the kernel is asked whether a connection has ended; replicas close
+theirs after several seconds."""
+
 
 @attrs.frozen(kw_only=True)
 class PoolOptions:
@@ -81,7 +85,7 @@
         """
         while self._free:
             connection = self._free.pop()
-            if connection.is_free and not connection.peer_has_ended():
+            if self._is_trusted(connection, request):
                 connection.send(request, sink)
                 return connection
             connection.close()
@@ -117,6 +121,18 @@
         """Tell whether no request is under way or waits."""
         return not self._waiting and len(self._free) == len(self._open)
 
+    def _is_trusted(self, connection: ExchangeConnection, request: ExchangeRequest) -> bool:
+        """Tell whether a connection may carry a request.
+
+        Asking the kernel costs a call, which a request without a body, that can be sent again, is
+        spared on a connection that was in use just now.
+        """
+        if not connection.is_free:
+            return False
+        if not request.body and connection.idle_for() < ASK_AFTER_S:
+            return True
+        return not connection.peer_has_ended()
+
     def _open_more(self) -> None:
         while len(self._waiting) > len(self._tasks) and self.open_connections < self.limit:
             self._start_opening()
--- a/libs/wire/berylspindle_wire/exchange.py
+++ b/libs/wire/berylspindle_wire/exchange.py
@@ -125,7 +125,8 @@
         self._informational = 0
         self._started = False
         self._ended = False
-        self._until = now() + DEFAULT_IDLE_S
+        self._since = now()
+        self._until = self._since + DEFAULT_IDLE_S
         self._idle_s = DEFAULT_IDLE_S
         self._exchanges = 0
 
@@ -149,6 +150,10 @@
         """Return how many requests were sent."""
         return self._exchanges
 
+    def idle_for(self) -> float:
+        """Return for how many seconds nothing was sent or received."""
+        return self._now() - self._since
+
     def peer_has_ended(self) -> bool:
         """Ask the kernel whether the peer has ended the connection, though nobody looked yet."""
         return has_ended(self._transport.get_extra_info("socket"))
@@ -270,7 +275,8 @@
                 stated = _KEEP_ALIVE.search(value)
                 if stated is not None:
                     self._idle_s = int(stated[1]) * IDLE_SHARE
-        self._until = self._now() + self._idle_s
+        self._since = self._now()
+        self._until = self._since + self._idle_s
 
     def _finish(self, detail: str, *, broken: bool | None = None) -> None:
         """Tell the sink of an exchange under way that there will be no reply."""
