--- a/libs/decisions/berylspindle_decisions/attempt_race.py
+++ b/libs/decisions/berylspindle_decisions/attempt_race.py
@@ -16,7 +16,9 @@
 Guards: what may not be repeated gets a second attempt only where the first has surely not run; a
 lost connection after the first byte ends it. A request never has more runs than its route allows,
 hedges and retries together. Refusals cost arrivals too, so that after each a pause grows from
-`PAUSE_FIRST`.
+`PAUSE_FIRST`. Where all replicas refuse connections, each request would connect to one after the
+other without a pause, and a VM with ten such requests would do nothing else: once all were tried,
+the next try waits as long.
 
 Thresholds: a replica that refused is asked again after 10 ms, then twice as long: its queue of some
 twenty is gone in about that many. A budget that is spent is asked again after `BUDGET_PAUSE`, until
@@ -146,6 +148,8 @@
         self._pause = PAUSE_FIRST
         self._hedge_at = math.inf
         self._denied_since = math.inf
+        self._again_at = -math.inf
+        self._again_pause = PAUSE_FIRST
 
     @property
     def may_have_run(self) -> bool:
@@ -184,6 +188,8 @@
         """Note an attempt that ended without an answer; `refused` by the replica itself."""
         attempt.is_out = False
         attempt.end = end
+        if end is AttemptEnd.NOT_SENT:
+            self._again_at = now + self._again_pause
         if not refused or any(other.is_out for other in self.attempts):
             return
         if {other.replica for other in self.attempts if other is not attempt}:
@@ -211,8 +217,11 @@
         tried = frozenset(attempt.replica for attempt in self.attempts)
         replica = guide.pick(self.service, tried=tried, hedge=False)
         if replica is None and tried != out_of:
-            # Only replicas that refused are left.
+            # Only replicas that refused, or could not be reached, are left.
+            if now < self._again_at:
+                return WaitUntil(min(self._again_at, self._deadline))
             replica = guide.pick(self.service, tried=out_of, hedge=False)
+            self._again_pause = min(PAUSE_MOST, 2 * self._again_pause)
         if replica is None:
             if now >= self._patient_until:
                 return self._lose("no replica is usable")
--- a/tests/decisions/test_load_race.py
+++ b/tests/decisions/test_load_race.py
@@ -99,6 +99,30 @@
     assert guide.taken == (end is AttemptEnd.NOT_RUN)
 
 
+def test_a_service_whose_replicas_refuse_connections_is_asked_ever_more_slowly() -> None:
+    """All answers of a VM are late while the three replicas of one shard are down.
+
+    Each refuses connections within a millisecond, and each request over the shard connects to one
+    after the other as fast as it can, for all the time that it has.
+    """
+    guide, race = Guide(), race_of(deadline=2.0)
+    now, connects = 0.0, []
+    while now < 2.0:
+        step = race.step(now, guide)
+        if isinstance(step, WaitUntil):
+            now = step.time
+            continue
+        assert isinstance(step, SendTo)
+        connects.append(now)
+        attempt = race.sent(now, step.replica, guide)
+        now += 0.001
+        race.ended(now, attempt, AttemptEnd.NOT_SENT, refused=False)
+    assert connects[2] < 0.01, "each replica is tried at once"
+    assert len([t for t in connects if t < 0.25]) <= 10
+    assert len(connects) <= 25
+    assert max(b - a for a, b in zip(connects, connects[1:], strict=False)) <= 0.2
+
+
 def test_a_service_that_refuses_everywhere_is_asked_ever_more_slowly() -> None:
     """Three replicas that shed get thousands of arrivals a second from requests that insist."""
     guide, race = Guide(), race_of(most_runs=4, deadline=2.0)
