Explain each failed request from its log line: one cause, bounded lines, no waiting writes

Cause: lines were written for refused and late requests only, as they came and with writes that wait: a reader that stopped would have stopped the VM, and a flood of refusals a flood of lines. Why a request failed had to be read out of forty steps. Ruled out: O_NONBLOCK on standard output (it changes the descriptor for whoever shares it); a thread that writes (wake-ups are charged, and it waits at the end of the process).

--- a/libs/cli/berylspindle_cli/main.py
+++ b/libs/cli/berylspindle_cli/main.py
@@ -19,6 +19,7 @@
 from berylspindle_cli.caller_commands import execute, outcome, search
 from berylspindle_cli.configuration_commands import configuration
 from berylspindle_cli.exit_codes import ExitCode
+from berylspindle_cli.explain_command import explain
 from berylspindle_cli.plan_commands import confirm, import_, plan
 from berylspindle_cli.settings import ENV_PREFIX, TOKEN_ENV, ToolError
 from berylspindle_cli.status_command import status
@@ -56,7 +57,17 @@
         config=Env(ENV_PREFIX, command=False),
         result_action="return_value",
     )
-    for command in (search, execute, outcome, plan, confirm, status, timeline, configuration):
+    for command in (
+        search,
+        execute,
+        outcome,
+        plan,
+        confirm,
+        status,
+        timeline,
+        explain,
+        configuration,
+    ):
         app.command(command)
     return app
 
--- a/libs/decisions/berylspindle_decisions/attempt_race.py
+++ b/libs/decisions/berylspindle_decisions/attempt_race.py
@@ -78,11 +78,20 @@
     time: float
 
 
+class LossReason(enum.StrEnum):
+    """Why a race gives no answer."""
+
+    ALL_FAILED = "every attempt that is allowed has failed"
+    TOO_LATE = "the deadline passed"
+    NO_REPLICA = "no replica is usable"
+    EXTRA_SPENT = "the extra share is spent"
+
+
 @attrs.frozen
 class GiveUp:
     """No answer can come any more."""
 
-    detail: str
+    reason: LossReason
 
 
 _UNRUN: Final = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN})
@@ -163,9 +172,9 @@
         if is_out:
             return self._step_hedge(now, guide, runs)
         if runs >= self._most_runs or (runs and not self._repeatable):
-            return self._lose("every attempt that is allowed has failed")
+            return self._lose(LossReason.ALL_FAILED)
         if now >= self._deadline:
-            return self._lose("the deadline passed")
+            return self._lose(LossReason.TOO_LATE)
         if now < self._not_before:
             return WaitUntil(min(self._not_before, self._deadline))
         return self._step_retry(now, guide)
@@ -224,7 +233,7 @@
             self._again_pause = min(PAUSE_MOST, 2 * self._again_pause)
         if replica is None:
             if now >= self._patient_until:
-                return self._lose("no replica is usable")
+                return self._lose(LossReason.NO_REPLICA)
             self._not_before = now + BUDGET_PAUSE
             return WaitUntil(min(self._not_before, self._deadline))
         if all(attempt.end is AttemptEnd.NOT_SENT for attempt in self.attempts):
@@ -232,12 +241,12 @@
         if not guide.may_take_extra(self.service, hedge=False):
             self._denied_since = min(self._denied_since, now)
             if now - self._denied_since >= BUDGET_PATIENCE:
-                return self._lose("the extra share is spent")
+                return self._lose(LossReason.EXTRA_SPENT)
             self._not_before = now + BUDGET_PAUSE
             return WaitUntil(min(self._not_before, self._deadline))
         self._denied_since = math.inf
         return SendTo(replica, "retry")
 
-    def _lose(self, detail: str) -> GiveUp:
+    def _lose(self, reason: LossReason) -> GiveUp:
         self.state = RaceState.LOST
-        return GiveUp(detail)
+        return GiveUp(reason)
--- a/libs/forwarding/berylspindle_forwarding/attempt_guide.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_guide.py
@@ -20,12 +20,14 @@
 from berylspindle_decisions.attempt_race import RaceGuide
 from berylspindle_decisions.extra_share import ExtraBounds, ExtraShare
 from berylspindle_decisions.latency_profile import LatencyProfile
+from berylspindle_decisions.line_budget import LineBudget, LineKind
 from berylspindle_decisions.reach import Reach
 from berylspindle_forwarding.dialect import HOP_HEADERS, Dialect
 from berylspindle_forwarding.replica_book import ReplicaBook, ReplicaHandle
 from berylspindle_forwarding.reply_check import ReplyClass
 from berylspindle_model.routing import Route
 from berylspindle_telemetry import metric_names as names
+from berylspindle_telemetry.logs import logger
 from berylspindle_telemetry.metrics import Metrics
 from berylspindle_wire.exchange import EndKind, ExchangeEnd, ExchangeReply
 
@@ -41,6 +43,8 @@
 """When a caller may come back to a service without a usable replica: a replica that has crashed is
 back, or its absence known, within some of these."""
 
+_LOG: Final = logger("replica")
+
 
 @attrs.define(kw_only=True)
 class ForwardTools:
@@ -55,9 +59,17 @@
     until_elsewhere: Callable[[float], float]
     bounds: ExtraBounds
     started: float
+    lines: LineBudget = attrs.field(factory=LineBudget)
     shares: dict[str, ExtraShare] = attrs.field(factory=dict)
     profiles: dict[str, LatencyProfile] = attrs.field(factory=dict)
 
+    def note_belief(self, message: str, **fields: str) -> None:
+        """Write a line for a change of what this VM believes of a replica, as far as is allowed."""
+        if not self.lines.may_write(self.now(), LineKind.BELIEF):
+            self.metrics.count(names.LOG_LEFT_OUT, kind=LineKind.BELIEF.value)
+            return
+        _LOG.info(message, extra=fields)
+
     def share(self, service: str) -> ExtraShare:
         """Return this VM's extra share at a service."""
         found = self.shares.get(service)
@@ -99,6 +111,11 @@
         self._profile: Final = tools.profile(route)
         self._hedge: HedgeTimes | None = None
 
+    @property
+    def usual_ms(self) -> float:
+        """Return the usual latency of the route's sub-requests, 0 where it isn't known yet."""
+        return self._profile.quantile(0.5) if self._profile.known else 0.0
+
     def pick(self, service: str, *, tried: frozenset[str], hedge: bool) -> str | None:
         """Return the replica for an attempt, or None."""
         handle = self._tools.book.pick(service, tried=tried, hedge=hedge)
@@ -161,16 +178,33 @@
             standing.refused(now, attempt)
         elif verdict is ReplyClass.MISDIRECTED:
             standing.withdrawn(attempt)
+            self._tools.note_belief(
+                "address belongs to another replica", replica=attempt.handle.replica.id
+            )
             self._tools.book.set_misplaced(attempt.handle)
         else:
-            standing.failed(now, attempt)
+            self._note_failed(now, attempt, verdict.value)
 
     def note_end(self, now: float, attempt: Attempt, end: ExchangeEnd) -> None:
         """Learn from an attempt without a reply."""
         self._tools.metrics.count(names.FORWARD_REPLIES, kind=end.kind.value)
         if end.kind is EndKind.NOT_SENT:
             attempt.handle.standing.withdrawn(attempt)
-        attempt.handle.standing.failed(now, attempt)
+        self._note_failed(now, attempt, f"{end.kind.value} {end.detail}")
+
+    def _note_failed(self, now: float, attempt: Attempt, what: str) -> None:
+        standing = attempt.handle.standing
+        was_held_off = standing.is_held_off(now)
+        standing.failed(now, attempt)
+        if was_held_off:
+            return
+        self._tools.note_belief(
+            "replica held off",
+            replica=attempt.handle.replica.id,
+            service=attempt.handle.replica.service,
+            after=what,
+            shed_rate=f"{standing.shed_rate(now):.2f}",
+        )
 
     def note_given_up(self, now: float, attempt: Attempt, elapsed_ms: float) -> None:
         """Learn from an attempt that nobody waits for any more."""
--- a/libs/forwarding/berylspindle_forwarding/drive.py
+++ b/libs/forwarding/berylspindle_forwarding/drive.py
@@ -117,10 +117,22 @@
         self._done: Final[asyncio.Future[HttpResponse | Refusal]] = self._loop.create_future()
         self._busy = False
 
+    @property
+    def usual_ms(self) -> float:
+        """Return the usual latency of the route's sub-requests."""
+        return self._guide.usual_ms
+
+    @property
+    def extra_left(self) -> float:
+        """Return how many extra arrivals this VM may still cause at the first service."""
+        share = self._tools.share(self._races[0].service)
+        return share.left(self._tools.now(), vms=self._tools.vms())
+
     async def run(self) -> HttpResponse | Refusal:
         """Return the answer or the refusal; cancelling this ends all attempts."""
         if self._guide.is_hopeless():
             # Asked all the same, the shards that can be reached would work for nothing.
+            self.story.cut_off = True
             return Refusal(
                 ErrorKind.NO_REPLICA,
                 "cut off from too many shards",
@@ -154,7 +166,7 @@
             attempt.connection.close()
         elapsed_ms = (now - attempt.record.sent_at) * 1000
         if not self._done.done():
-            self.story.replied(now, attempt.handle.replica.id, verdict.value, reply.status)
+            self.story.replied(now, attempt.handle, verdict, reply.status)
         self._guide.note_reply(now, attempt, verdict, elapsed_ms, reply)
         race = self._races[attempt.index]
         if verdict is ReplyClass.ANSWER:
@@ -175,7 +187,7 @@
             known = AttemptEnd.NOT_SENT
         self._detail = f"{attempt.handle.replica.id}: {end.kind} {end.detail}"
         if not self._done.done():
-            self.story.ended(now, attempt.handle.replica.id, end)
+            self.story.ended(now, attempt.handle, end)
         self._races[attempt.index].ended(now, attempt.record, known, refused=False)
         self._advance(attempt.index)
 
@@ -226,8 +238,8 @@
                 continue
             if isinstance(step, GiveUp):
                 self._lost += 1
-                self.story.lost(now, race.service, step.detail)
-                self._detail = self._detail or step.detail
+                self.story.lost(now, race.service, step.reason)
+                self._detail = self._detail or step.reason
                 self._next[index] = math.inf
             else:
                 self._next[index] = step.time
--- a/libs/forwarding/berylspindle_forwarding/forward_daemon.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_daemon.py
@@ -32,6 +32,7 @@
 
 import attrs
 
+from berylspindle_decisions.line_budget import LineBudget, LineKind
 from berylspindle_forwarding.catalogue import CatalogueReader
 from berylspindle_forwarding.forwarder import Forwarder, ForwardOptions, open_forwarder
 from berylspindle_forwarding.front import refusal_reply
@@ -92,12 +93,12 @@
         self._forwarder: Final = forwarder
         self._metrics: Final = metrics
         self._log: Final = logger("daemon")
+        self._lines: Final = LineBudget()
         self._stack: Final = AsyncExitStack()
         self._callers: HttpServer
 
     async def start(self) -> None:
         """Open the edges; raises OSError where an address can't be bound."""
-        dialect = self._forwarder.dialect
         limits = HttpLimits(connections=self._edges.connections)
         self._callers = await serve(
             self._forwarder.front.handle,
@@ -106,7 +107,7 @@
             limits=limits,
             on_fault=self._on_fault,
             read=read_raw_head,
-            refuse=lambda refusal: refusal_reply(refusal, dialect.request_id, b""),
+            refuse=self._refuse_unread,
             bound=self._edges.bound,
         )
         self._stack.push_async_callback(self._callers.close, 0.0)
@@ -158,6 +159,17 @@
             headers={"content-type": CONTENT_TYPE},
         )
 
+    def _refuse_unread(self, refusal: Refusal) -> HttpResponse:
+        """Answer what never became a request, and what the shutdown has cut short."""
+        self._metrics.count(names.FORWARD_REQUESTS, route="-", result=refusal.kind.value)
+        if self._lines.may_write(asyncio.get_running_loop().time(), LineKind.REFUSED):
+            self._log.info(
+                "refused unread", extra={"kind": refusal.kind.value, "detail": refusal.detail}
+            )
+        else:
+            self._metrics.count(names.LOG_LEFT_OUT, kind=LineKind.REFUSED.value)
+        return refusal_reply(refusal, self._forwarder.dialect.request_id, b"")
+
     def _set_limits(self, limits: HttpLimits) -> None:
         self._callers.set_limits(attrs.evolve(limits, connections=self._edges.connections))
 
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -1,8 +1,8 @@
 """The callers' edge of forwarded requests: a raw request in, an answer or a refusal out.
 
 Flow: `handle` looks the route up in the table in force, bounds the time, and has one `ForwardDrive`
-carry the request out. A refusal becomes a response by the one table of error kinds, with the time
-to come back as a header that may hold parts of a second.
+carry the request out; `request_log` is told how each ended. A refusal becomes a response by the one
+table of error kinds, with the time to come back as a header that may hold parts of a second.
 """
 
 from __future__ import annotations
@@ -17,10 +17,10 @@
 from berylspindle_forwarding.attempt_guide import DriveTimes, ForwardTools
 from berylspindle_forwarding.drive import ForwardDrive
 from berylspindle_forwarding.request_head import ForwardRequest, read_forward
+from berylspindle_forwarding.request_log import Beliefs, Ended, RequestLog
 from berylspindle_model.errors import ANSWERS, ErrorKind, Refusal
 from berylspindle_model.routing import Route, RoutingTable
 from berylspindle_telemetry import metric_names as names
-from berylspindle_telemetry.logs import logger
 from berylspindle_wire.http import HttpRequest, HttpResponse
 
 ANSWER_MARGIN_MS: Final = 12.0
@@ -36,6 +36,8 @@
 Callers reach a VM that is just starting because others are gone too; told to come back, they spend
 one of their few tries, and the table is there within some tenths of a second."""
 
+_LEFT: Final = Refusal(ErrorKind.CANCELLED, "the caller went away")
+
 
 class Front:
     """Answer callers' forwarded requests."""
@@ -47,7 +49,7 @@
         self._turns: dict[str, tuple[Route, WeightedTurns]] = {}
         self._in_flight = 0
         self.last_request = float("-inf")
-        self._log: Final = logger("request")
+        self._requests: Final = RequestLog(tools.metrics, tools.now, self._beliefs)
         self._idle: Final = asyncio.Event()
         self._idle.set()
 
@@ -77,28 +79,23 @@
         self._idle.clear()
         try:
             forward = read_forward(request, self._tools.dialect)
-            if self._table is None:
-                await self._await_table(forward)
+            waited_ms = await self._await_table(forward) if self._table is None else 0.0
             route = self._route(forward)
             if isinstance(route, Refusal):
                 self._count("-", route.kind.value)
+                self._requests.tell(Ended(request=forward, outcome=route, table_wait_ms=waited_ms))
                 return refusal_reply(route, self._tools.dialect.request_id, forward.request_id)
-            drive = self._drive(route, forward, started, is_first=request.is_first)
-            outcome = await drive.run()
-            elapsed_ms = (self._tools.now() - started) * 1000
-            self._tools.metrics.observe(names.FORWARD_TIME, elapsed_ms, route=route.name)
-            self._tell(route, forward, drive, outcome, elapsed_ms)
-            if isinstance(outcome, Refusal):
-                self._count(route.name, outcome.kind.value)
-                return refusal_reply(outcome, self._tools.dialect.request_id, forward.request_id)
-            self._count(route.name, str(outcome.status))
-            return outcome
+            return await self._drive(
+                route, forward, started, is_first=request.is_first, waited_ms=waited_ms
+            )
         finally:
             self._in_flight -= 1
             if not self._in_flight:
                 self._idle.set()
 
-    async def _await_table(self, forward: ForwardRequest) -> None:
+    async def _await_table(self, forward: ForwardRequest) -> float:
+        """Wait for the first routing table; return for how many milliseconds."""
+        began = self._tools.now()
         patience = START_PATIENCE_S
         if forward.left_ms is not None:
             patience = min(patience, START_SHARE * forward.left_ms / 1000)
@@ -107,21 +104,38 @@
                 await self._table_known.wait()
         except TimeoutError:
             # The request is refused as not run, with a time to come back.
-            return
+            pass
+        return (self._tools.now() - began) * 1000
 
     def _route(self, forward: ForwardRequest) -> Route | Refusal:
         if self._table is None:
             return Refusal(ErrorKind.NOT_READY, retry_after_ms=NOT_READY_MS)
         return self._table.find(forward.host, forward.path) or Refusal(ErrorKind.NOT_FOUND)
 
-    def _drive(
-        self, route: Route, forward: ForwardRequest, started: float, *, is_first: bool
-    ) -> ForwardDrive:
+    async def _drive(
+        self,
+        route: Route,
+        forward: ForwardRequest,
+        started: float,
+        *,
+        is_first: bool,
+        waited_ms: float,
+    ) -> HttpResponse:
+        """Carry a request out, and tell of its end."""
         services = self._services(route)
         for service in services:
             self._tools.share(service).on_request(started)
         times = drive_times(route, forward, started, is_first=is_first)
-        return ForwardDrive(self._tools, route, forward, services, times)
+        drive = ForwardDrive(self._tools, route, forward, services, times)
+        outcome: HttpResponse | Refusal = _LEFT
+        try:
+            outcome = await drive.run()
+        finally:
+            # A caller that leaves has this task cancelled; its request is told of all the same.
+            self._tell(route, forward, drive, outcome, started, waited_ms)
+        if isinstance(outcome, Refusal):
+            return refusal_reply(outcome, self._tools.dialect.request_id, forward.request_id)
+        return outcome
 
     def _tell(
         self,
@@ -129,23 +143,32 @@
         forward: ForwardRequest,
         drive: ForwardDrive,
         outcome: HttpResponse | Refusal,
-        elapsed_ms: float,
+        started: float,
+        waited_ms: float,
     ) -> None:
-        """Write a line of the log for a request that was refused, failed or late."""
-        refused = isinstance(outcome, Refusal)
-        if not refused and elapsed_ms <= route.aim_ms:
-            return
-        self._log.info(
-            "refused" if isinstance(outcome, Refusal) else "late",
-            extra={
-                "request": forward.request_id.decode("latin-1"),
-                "route": route.name,
-                "result": outcome.kind.value if isinstance(outcome, Refusal) else outcome.status,
-                "ms": f"{elapsed_ms:.1f}",
-                "left_ms": forward.left_ms,
-                "aim_ms": route.aim_ms,
-                "steps": drive.story.told(),
-            },
+        elapsed_ms = (self._tools.now() - started) * 1000
+        self._tools.metrics.observe(names.FORWARD_TIME, elapsed_ms, route=route.name)
+        result = outcome if isinstance(outcome, Refusal) else outcome.status
+        self._count(route.name, result.kind.value if isinstance(result, Refusal) else str(result))
+        self._requests.tell(
+            Ended(
+                request=forward,
+                outcome=result,
+                route=route,
+                story=drive.story,
+                elapsed_ms=elapsed_ms,
+                table_wait_ms=waited_ms,
+                usual_ms=drive.usual_ms,
+                extra_left=drive.extra_left,
+            )
+        )
+
+    def _beliefs(self) -> Beliefs:
+        return Beliefs(
+            table_version=self._table.version if self._table is not None else 0,
+            vms=self._tools.vms(),
+            in_flight=self._in_flight,
+            cut_off=self._tools.reach.is_cut_off(self._tools.now()),
         )
 
     def _services(self, route: Route) -> tuple[str, ...]:
--- a/libs/telemetry/berylspindle_telemetry/metric_names.py
+++ b/libs/telemetry/berylspindle_telemetry/metric_names.py
@@ -149,6 +149,10 @@
 EVENTS: Final = _counter("events", "events of the time line", "kind")
 EVENTS_DROPPED: Final = _gauge("events_dropped", "events that the time line no longer holds")
 LOG_LINES: Final = _counter("log_lines", "log lines written", "level")
+LOG_DROPPED: Final = _counter(
+    "log_dropped", "log lines that nobody read fast enough to take", "channel"
+)
+LOG_LEFT_OUT: Final = _counter("log_left_out", "request lines over their kind's allowance", "kind")
 SERIES_DROPPED: Final = _counter("series_dropped", "samples folded since a metric had too many")
 LOOP_LAG: Final = _summary("loop_lag", "how late a timer of the event loop fires")
 CPU_SECONDS: Final = _gauge("cpu_seconds", "processor time of this process since its start")
@@ -157,6 +161,9 @@
 FORWARD_REQUESTS: Final = _counter(
     "forward_requests", "Forwarded requests by what became of them.", "route", "result"
 )
+FORWARD_CAUSES: Final = _counter(
+    "forward_causes", "Forwarded requests that were refused, failed or late, by cause.", "cause"
+)
 FORWARD_TIME: Final = _summary(
     "forward_time", "Time from a forwarded request's arrival to its answer.", "route"
 )
--- a/tests/cli/test_pages.py
+++ b/tests/cli/test_pages.py
@@ -14,6 +14,7 @@
 from berylspindle_cli.main import make_app
 from berylspindle_daemon.exit_codes import ExitCode as DaemonExitCode
 from berylspindle_daemon.main import parse
+from berylspindle_model.causes import CAUSES, Cause
 from berylspindle_model.errors import ErrorKind
 from berylspindle_model.events import EventKind
 from berylspindle_telemetry import metric_names as names
@@ -59,6 +60,12 @@
         assert f"| {code.value} | `{code.name}` |" in OPERATIONS
 
 
+def test_the_page_lists_each_cause_as_the_tool_prints_it() -> None:
+    assert set(CAUSES) == set(Cause)
+    for cause, text in CAUSES.items():
+        assert f"| `{cause.value}` | {text.meaning} | {text.look_at} |" in OPERATIONS
+
+
 def test_the_page_lists_each_metric_as_the_code_has_it() -> None:
     for metric in names.METRICS:
         labels = ", ".join(metric.labels) or "-"
--- a/tests/decisions/test_load_race.py
+++ b/tests/decisions/test_load_race.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import hypothesis.strategies as st
 import pytest
 from hypothesis import Phase, settings
@@ -13,6 +15,7 @@
     AttemptEnd,
     AttemptRace,
     GiveUp,
+    LossReason,
     RaceAttempt,
     RaceGuide,
     RaceState,
@@ -120,7 +123,7 @@
     assert connects[2] < 0.01, "each replica is tried at once"
     assert len([t for t in connects if t < 0.25]) <= 10
     assert len(connects) <= 25
-    assert max(b - a for a, b in zip(connects, connects[1:], strict=False)) <= 0.2
+    assert max(b - a for a, b in itertools.pairwise(connects)) <= 0.2
 
 
 def test_a_service_that_refuses_everywhere_is_asked_ever_more_slowly() -> None:
@@ -150,7 +153,7 @@
     lost = race_of()
     guide.usable.clear()
     lost.step(0.0, guide)
-    assert lost.step(0.3, guide) == GiveUp("no replica is usable")
+    assert lost.step(0.3, guide) == GiveUp(LossReason.NO_REPLICA)
     assert not lost.may_have_run
 
 
