Let a few watchers a data centre follow the store, and the others follow them

Weighed: gossip of deltas (a second protocol); fewer watches by a longer collection (changes would be late); a follower that reports to its watcher in place of a lease in the store (saves two calls a VM more, but who lives would be known to watchers only; kept in mind). Change: two VMs a data centre, one more for each 16, ranked by a hash that all compute alike; a mirror now says for how long what has gone may come back, so that followers drop replicas as soon as their watcher does. Tests: decisions, six VMs on sockets with a watcher that dies and one that is turned away.

--- /dev/null
+++ b/libs/decisions/berylspindle_decisions/watchers.py
@@ -0,0 +1,37 @@
+"""Which VMs of a data centre follow the store by themselves; the others follow these.
+
+Pattern of load: each call to the store costs, a waiting watch as one, and its rates grow more
+slowly than the fleet. Where each of 81 VMs watches the store, each change is some 81 calls, and the
+calls of a quiet day take 0.075 of its worth; with a few watchers a data centre 0.02.
+
+Terms:
+  watcher   a VM that follows the store and whose mirror others follow
+  follower  any other VM
+
+Flow: each VM ranks the VMs of its data centre that it knows by a hash of their names; the first
+ones are the watchers. VMs that know the same VMs find the same ones, and nobody is asked. While
+they know different ones there are some watchers more.
+
+Thresholds: two, so that one can fail unnoticed; one more for each `FOLLOWERS` VMs, since a follower
+asks about once a second and each answer takes a millisecond, 1.6% of a core at a watcher. Fleets
+with two VMs or fewer in a data centre have no followers.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from typing import Final
+
+from berylspindle_decisions.rendezvous import weight
+
+LEAST: Final = 2
+FOLLOWERS: Final = 16
+
+
+def watchers_of(vms: Iterable[str], *, data_centre: str) -> tuple[str, ...]:
+    """Return the watchers among the VMs of a data centre, best first."""
+    known = set(vms)
+    count = max(LEAST, math.ceil(len(known) / FOLLOWERS))
+    ranked = sorted(known, key=lambda name: (weight(data_centre, name), name), reverse=True)
+    return tuple(ranked[:count])
--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -238,13 +238,16 @@
             self._watching = None
 
     async def _reached(self, followed: Followed) -> None:
+        now = self._now()
         if followed.is_mirror:
-            # Whether a mirror's deletions are of an outage's making can't be told from here.
-            self._settled_at = self._now() + SETTLE_S
+            # Whether its deletions are of an outage's making only the mirror can tell.
+            settling = SETTLE_S if followed.behind_ms else followed.settling_ms / 1000
+            self._settled_at = max(self._settled_at, now + settling) if settling else 0.0
         elif self._choice.store_away:
-            self._settled_at = self._now() + SETTLE_S
+            self._settled_at = now + SETTLE_S
+        self._mirror.set_settled(self._settled_at)
+        self._mirror.set_in_step(not followed.behind_ms)
         if not followed.is_mirror:
-            self._mirror.set_in_step(True)
             self._listener.on_store(True, "")
         await self._choice.worked(followed)
 
--- a/libs/forwarding/berylspindle_forwarding/follow_choice.py
+++ b/libs/forwarding/berylspindle_forwarding/follow_choice.py
@@ -1,13 +1,16 @@
 """Whom this VM follows just now: the store, or a peer's mirror of it.
 
 Terms:
+  watcher  a VM of the own data centre that follows the store for the others (`decisions.watchers`)
   away     the store did not answer this VM's last call; others may still be served by it
   mirror   a peer's copy of the store's entries (`mirror`)
 
-Flow: the catalogue asks `pick` before each call and reports how it went. The store is followed
-while it answers. While it is away the calls go to mirrors and the store in turn: a mirror keeps
-this VM up to date, and a short try shows when the store is back. A mirror that failed is passed
-over for a while; one that isn't in step itself is followed only while no other is.
+Flow: the catalogue asks `pick` before each call and reports how it went. A VM that is no watcher
+follows one of the watchers; one that failed, or says that it lags, is passed over for a while, and
+where all are the store is asked now and then. A watcher follows the store while it answers. While
+it is away the calls go to mirrors and the store in turn: a mirror keeps this VM up to date, and a
+short try shows when the store is back. A mirror that failed is passed over for a while; one that
+isn't in step itself is followed only while no other is.
 
 Guard: the store may turn some VMs away while it serves the others, and a VM may start while the
 store is away; without its peers such a VM serves by old routes, or by none.
@@ -27,6 +30,9 @@
 MIRROR_WAIT_S: Final = 1.0
 PROBE_WAIT_S: Final = 0.05
 PASSED_OVER_S: Final = 3.0
+STORE_TRY_S: Final = 3.0
+"""Seconds, more or less by half, between two tries of the store by a VM whose watchers all lag.
+They ask the store themselves, each second; eighty VMs that do so too are a price and no help."""
 
 
 @attrs.frozen
@@ -46,6 +52,16 @@
     wait: float | None
     is_mirror: bool
 
+    @property
+    def behind_ms(self) -> int:
+        """Return how long a mirror has lagged, as it said last; 0 for the store."""
+        return self.store.behind_ms if isinstance(self.store, MirrorStore) else 0
+
+    @property
+    def settling_ms(self) -> int:
+        """Return for how long what a mirror says to be gone may come back; 0 for the store."""
+        return self.store.settling_ms if isinstance(self.store, MirrorStore) else 0
+
 
 class FollowChoice:
     """Choose between the store and peers' mirrors. `mirrors` returns the peers known now."""
@@ -57,7 +73,11 @@
         mirrors: Callable[[], tuple[MirrorAddress, ...]],
         now: Callable[[], float],
         dice: random.Random,
+        watchers: Callable[[], tuple[MirrorAddress, ...]] = tuple,
     ) -> None:
+        """Take also what returns the watchers to follow, none where this VM is one itself."""
+        self._watchers: Final = watchers
+        self._store_try_at = 0.0
         self._store: Final = store
         self._mirrors: Final = mirrors
         self._now: Final = now
@@ -74,6 +94,8 @@
 
     def pick(self) -> Followed:
         """Return whom to call next."""
+        if watchers := self._watchers():
+            return self._pick_watcher(watchers)
         if not self._away:
             return Followed(self._store, None, False)
         self._store_next = not self._store_next
@@ -87,7 +109,7 @@
         if not followed.is_mirror:
             self._away = False
             await self._leave()
-        elif isinstance(followed.store, MirrorStore) and followed.store.behind_ms:
+        elif followed.behind_ms:
             await self._pass_over()
 
     async def failed(self, followed: Followed) -> None:
@@ -101,6 +123,19 @@
         """Close the connections to mirrors; the store's are not this object's."""
         await self._leave()
 
+    def _pick_watcher(self, watchers: tuple[MirrorAddress, ...]) -> Followed:
+        if self._current is not None:
+            # One that is no watcher any more is left when it fails or lags, as any other.
+            return Followed(self._current[1], MIRROR_WAIT_S, True)
+        now = self._now()
+        known = [a for a in watchers if self._passed_over.get(a, now) <= now]
+        if not known and now >= self._store_try_at:
+            self._store_try_at = now + STORE_TRY_S * (0.5 + self._dice.random())
+            return Followed(self._store, PROBE_WAIT_S, False)
+        address = self._dice.choice(known or watchers)
+        self._current = (address, MirrorStore(address.host, address.port))
+        return Followed(self._current[1], MIRROR_WAIT_S, True)
+
     def _mirror(self) -> MirrorStore | None:
         if self._current is not None:
             return self._current[1]
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -17,6 +17,7 @@
 
 from berylspindle_decisions.extra_share import ExtraBounds
 from berylspindle_decisions.reach import Reach
+from berylspindle_decisions.watchers import watchers_of
 from berylspindle_forwarding.attempt_guide import ForwardTools
 from berylspindle_forwarding.catalogue import (
     Catalogue,
@@ -126,7 +127,11 @@
         )
         self.mirror: Final = Mirror(loop.time)
         self._choice: Final = FollowChoice(
-            store, mirrors=self._mirrors, now=loop.time, dice=random.Random()
+            store,
+            mirrors=self._mirrors,
+            now=loop.time,
+            dice=random.Random(),
+            watchers=self._watchers,
         )
         self._catalogue: Final = Catalogue(
             self._choice,
@@ -137,7 +142,9 @@
             now=loop.time,
             u=random.random,
         )
-        self._announcer: Final = _announcer(options, store, self._on_announce_failed)
+        self._announcer: Final = _announcer(
+            options, store, self._on_announce_failed, lambda: not self._watchers()
+        )
         metrics.gauge_function(names.REPLICAS_KNOWN, lambda: len(self.book))
 
     @property
@@ -270,6 +277,15 @@
             known.pop((self._options.peers.host, self._options.peers.port), None)
         return tuple(known.values())
 
+    def _watchers(self) -> tuple[MirrorAddress, ...]:
+        """Return whose mirrors this VM follows; none where it follows the store itself."""
+        here = self._options.data_centre
+        near = {name: vm for name, vm in self._vms.items() if vm.data_centre == here}
+        first = watchers_of([*near, self._options.vm], data_centre=here)
+        if self._options.vm in first:
+            return ()
+        return tuple(MirrorAddress(near[n].host, near[n].port, True) for n in first)
+
     def _on_announce_failed(self, detail: str) -> None:
         self._metrics.count(names.ANNOUNCE_FAILED)
         self._log.debug("this VM is not announced", extra={"detail": detail})
@@ -293,7 +309,10 @@
 
 
 def _announcer(
-    options: ForwardOptions, store: Store, on_failure: Callable[[str], None]
+    options: ForwardOptions,
+    store: Store,
+    on_failure: Callable[[str], None],
+    is_watcher: Callable[[], bool],
 ) -> VmAnnouncer | None:
     if not options.announce_key or options.peers is None:
         return None
@@ -301,7 +320,11 @@
         host=options.peers.host, port=options.peers.port, data_centre=options.data_centre
     )
     return VmAnnouncer(
-        store, key=options.announce_key, value=codec.to_json(entry), on_failure=on_failure
+        store,
+        key=options.announce_key,
+        value=codec.to_json(entry),
+        on_failure=on_failure,
+        is_watcher=is_watcher,
     )
 
 
--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -52,11 +52,17 @@
 
 @attrs.frozen(kw_only=True)
 class MirrorList:
-    """All entries of a mirror; `behind_ms` is how long it has not been in step."""
+    """All entries of a mirror.
+
+    Attributes:
+        behind_ms: how long it has not been in step.
+        settling_ms: for how long entries that have gone may come back, after an outage.
+    """
 
     revision: int
     behind_ms: int
-    entries: tuple[StoredValue, ...]
+    settling_ms: int = 0
+    entries: tuple[StoredValue, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -66,7 +72,8 @@
     revision: int
     behind_ms: int
     compacted: bool
-    entries: tuple[StoredValue, ...]
+    settling_ms: int = 0
+    entries: tuple[StoredValue, ...] = ()
 
 
 class Mirror:
@@ -80,6 +87,7 @@
         self._revision = 0
         self._behind_since: float | None = now()
         self._changed = asyncio.Event()
+        self._settled_at = 0.0
 
     @property
     def revision(self) -> int:
@@ -116,6 +124,10 @@
         elif self._behind_since is None:
             self._behind_since = self._now()
 
+    def set_settled(self, at: float) -> None:
+        """Note until when entries that have gone may come back, after an outage of the store."""
+        self._settled_at = at
+
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Answer a peer that lists or follows this mirror."""
         if request.path == LIST_PATH:
@@ -123,6 +135,7 @@
                 MirrorList(
                     revision=self._revision,
                     behind_ms=self._behind_ms(),
+                    settling_ms=self._settling_ms(),
                     entries=tuple(self._entries.values()),
                 )
             )
@@ -144,6 +157,7 @@
             revision=max(self._revision, after),
             behind_ms=self._behind_ms(),
             compacted=compacted,
+            settling_ms=self._settling_ms(),
             entries=(
                 ()
                 if compacted
@@ -161,17 +175,24 @@
             return 0
         return 1 + int((self._now() - self._behind_since) * 1000)
 
+    def _settling_ms(self) -> int:
+        return max(0, int((self._settled_at - self._now()) * 1000))
+
     def _wake(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
 
 class MirrorStore(Store):
-    """A peer's mirror, read as the store. `behind_ms` is what it said last of itself."""
+    """A peer's mirror, read as the store.
+
+    `behind_ms` and `settling_ms` are what it said last of itself.
+    """
 
     def __init__(self, host: str, port: int) -> None:
         self._client: Final = HttpClient(host, port, limit=2, connect_timeout=0.5)
         self.behind_ms = 0
+        self.settling_ms = 0
 
     async def close(self) -> None:
         """Close all connections."""
@@ -182,7 +203,7 @@
         told: MirrorList = await self._get(LIST_PATH, {}, CALL_S, MirrorList)
         if not told.revision:
             raise StoreAway("the mirror knows nothing")
-        self.behind_ms = told.behind_ms
+        self.behind_ms, self.settling_ms = told.behind_ms, told.settling_ms
         found = tuple(entry for entry in told.entries if entry.key.startswith(prefix))
         return ListResult(revision=told.revision, entries=found)
 
@@ -191,7 +212,7 @@
         wait = min(wait, MOST_WAIT_S)
         query = {"after": str(after), "wait": f"{wait:.3f}"}
         told: MirrorChanges = await self._get(WATCH_PATH, query, wait + CALL_S, MirrorChanges)
-        self.behind_ms = told.behind_ms
+        self.behind_ms, self.settling_ms = told.behind_ms, told.settling_ms
         found = tuple(entry for entry in told.entries if entry.key.startswith(prefix))
         return WatchResult(revision=told.revision, entries=found, compacted=told.compacted)
 
--- a/libs/forwarding/berylspindle_forwarding/vm_announcer.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_announcer.py
@@ -28,9 +28,11 @@
 )
 
 LEASE_S: Final = 15.0
-RENEW_S: Final = 1.5
-"""Seconds between two renewals. A third of the lease would do for the lease; renewals also show an
-outage of the store that a waiting watch does not, and the shortest that matters lasts about two."""
+RENEW_S: Final = 5.0
+RENEW_WATCHER_S: Final = 1.5
+"""Seconds between two renewals. A third of the lease does for the lease; a watcher's renewals also
+show an outage of the store that its waiting watch does not, and the shortest that matters lasts
+about two."""
 
 RETRY_S: Final = 1.0
 
@@ -39,8 +41,15 @@
     """Keep one entry in the store; `on_failure` is told of each call that failed."""
 
     def __init__(
-        self, store: Store, *, key: str, value: bytes, on_failure: Callable[[str], None]
+        self,
+        store: Store,
+        *,
+        key: str,
+        value: bytes,
+        on_failure: Callable[[str], None],
+        is_watcher: Callable[[], bool],
     ) -> None:
+        self._is_watcher: Final = is_watcher
         self._store: Final = store
         self._key: Final = key
         self._value: Final = value
@@ -52,7 +61,7 @@
         while True:
             try:
                 await self._step()
-                await asyncio.sleep(RENEW_S)
+                await asyncio.sleep(RENEW_WATCHER_S if self._is_watcher() else RENEW_S)
             except StoreLeaseGone:
                 self._lease = None
             except StoreError as error:
--- /dev/null
+++ b/tests/forwarding/test_watchers.py
@@ -0,0 +1,250 @@
+"""VMs that follow a watcher's mirror in place of the store."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import pytest
+from forward_site import NoStore, plain_route
+
+from berylspindle_forwarding.catalogue import (
+    CatalogueReader,
+    Change,
+    ReplicaChange,
+    TableChange,
+    VmChange,
+    VmEntry,
+)
+from berylspindle_forwarding.follow_choice import FollowChoice, MirrorAddress
+from berylspindle_forwarding.forwarder import Forwarder, ForwardOptions, open_forwarder
+from berylspindle_model import codec
+from berylspindle_model.routing import CallerLimits, Replica, RoutingTable
+from berylspindle_store.store import (
+    Lease,
+    ListResult,
+    StoreAway,
+    StoredValue,
+    WatchResult,
+)
+from berylspindle_telemetry.metrics import Metrics
+from berylspindle_wire.http_server import HttpServer, serve
+
+VMS = 6
+REPLICA = Replica(id="i-1", service="s", host="127.0.0.1", port=1, data_centre="a")
+
+
+class Reader(CatalogueReader):
+    """Keys are `table`, `replicas/ID` and `vms/NAME`."""
+
+    prefix = ""
+    parts = ("",)
+
+    def read(self, entry: StoredValue) -> Change:
+        kind, _, name = entry.key.partition("/")
+        if kind == "table":
+            return TableChange(RoutingTable(entry.revision, (plain_route(),), {}, CallerLimits()))
+        if kind == "replicas":
+            return ReplicaChange(name, REPLICA if entry.value is not None else None)
+        vm = codec.from_json(entry.value, VmEntry) if entry.value is not None else None
+        return VmChange(name, vm)
+
+
+class SharedStore:
+    """The store behind all VMs; `away` holds the VMs that it does not answer."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.entries: dict[str, StoredValue] = {}
+        self.history: list[StoredValue] = []
+        self.calls: Counter[str] = Counter()
+        self.away: set[str] = set()
+        self.changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes | None) -> None:
+        self.revision += 1
+        entry = StoredValue(key=key, value=value, revision=self.revision)
+        self.entries[key] = entry
+        if value is None:
+            del self.entries[key]
+        self.history.append(entry)
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+
+class VmStore(NoStore):
+    """The store as one VM calls it."""
+
+    def __init__(self, shared: SharedStore, vm: str) -> None:
+        self._shared = shared
+        self._vm = vm
+
+    async def list(self, prefix: str) -> ListResult:
+        self._count("list")
+        entries = tuple(self._shared.entries.values())
+        return ListResult(revision=self._shared.revision, entries=entries)
+
+    async def watch(self, prefix: str, *, after: int, wait: float) -> WatchResult:
+        self._count("watch")
+        try:
+            async with asyncio.timeout(wait):
+                while self._shared.revision <= after:
+                    await self._shared.changed.wait()
+        except TimeoutError:
+            pass
+        self._count("answered")
+        found = tuple(entry for entry in self._shared.history if entry.revision > after)
+        return WatchResult(revision=self._shared.revision, entries=found)
+
+    async def grant_lease(self, ttl: float) -> Lease:
+        self._count("lease")
+        return Lease(id=self._vm, ttl=ttl)
+
+    async def compare_and_swap(self, key, value, *, expect, lease=None) -> StoredValue:
+        self._count("write")
+        self._shared.put(key, value)
+        return self._shared.entries[key]
+
+    async def keep_alive(self, lease: str) -> Lease:
+        self._count("renew")
+        return Lease(id=lease, ttl=15.0)
+
+    async def revoke(self, lease: str) -> None:
+        pass
+
+    def _count(self, what: str) -> None:
+        if self._vm in self._shared.away:
+            raise StoreAway("refused")
+        self._shared.calls[what] += 1
+
+
+@asynccontextmanager
+async def fleet() -> AsyncIterator[tuple[SharedStore, dict[str, Forwarder], dict[str, HttpServer]]]:
+    """Start VMs of one data centre, each with its mirror on a socket."""
+    async with AsyncExitStack() as stack:
+        shared = SharedStore()
+        shared.put("table", b"")
+        shared.put("replicas/i-1", b"")
+        forwarders: dict[str, Forwarder] = {}
+        servers: dict[str, HttpServer] = {}
+        for number in range(VMS):
+            name = f"vm-{number}"
+
+            async def answer(request, name=name):
+                return await forwarders[name].mirror.answer(request)
+
+            server = await serve(answer, host="127.0.0.1", port=0)
+            stack.push_async_callback(server.close, 0.0)
+            options = ForwardOptions(
+                vm=name,
+                data_centre="a",
+                peers=MirrorAddress("127.0.0.1", server.port),
+                announce_key=f"vms/{name}",
+            )
+            servers[name] = server
+            forwarders[name] = await open_forwarder(
+                options,
+                store=VmStore(shared, name),
+                reader=Reader(),
+                metrics=Metrics(),
+                stack=stack,
+            )
+        async with asyncio.timeout(20):
+            while not all(len(f._vms) == VMS for f in forwarders.values()):  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+        # Watches of the start that still wait are answered once more.
+        shared.put("table", b"")
+        await asyncio.sleep(2.0)
+        yield shared, forwarders, servers
+
+
+def watching(forwarders: dict[str, Forwarder]) -> set[str]:
+    return {name for name, forwarder in forwarders.items() if not forwarder._watchers()}
+
+
+async def all_at(forwarders: dict[str, Forwarder], version: int, seconds: float) -> None:
+    async with asyncio.timeout(seconds):
+        while any(f.table_version < version for f in forwarders.values()):  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+
+
+async def test_a_change_costs_the_store_two_watches_and_reaches_all_within_a_second() -> None:
+    """At eighty VMs a watch for each of them takes more of a day's worth than all failures."""
+    async with fleet() as (shared, forwarders, _):
+        assert len(watching(forwarders)) == 2
+        shared.calls.clear()
+        for _ in range(3):
+            shared.put("table", b"")
+            await all_at(forwarders, shared.revision, 2.5)
+        assert shared.calls["answered"] <= 3 * 2
+        assert shared.calls["list"] == 0
+
+
+async def test_a_replica_that_is_gone_is_dropped_by_followers_at_once() -> None:
+    """A replica gets requests for seconds after it has gone, from VMs that follow a mirror.
+
+    What goes in an outage of the store is kept for a while, as it may come back; a follower that
+    can't tell such a time from others keeps all that goes, always.
+    """
+    async with fleet() as (shared, forwarders, _):
+        assert all(f.book.get("i-1") is not None for f in forwarders.values())
+        shared.put("replicas/i-1", None)
+        await asyncio.sleep(2.2)
+        kept = [name for name, f in forwarders.items() if f.book.get("i-1") is not None]
+        assert kept == []
+
+
+async def test_followers_go_on_when_a_watcher_dies_or_is_turned_away() -> None:
+    """A data centre keeps old routes because the VM that it followed is gone, or lags."""
+    async with fleet() as (shared, forwarders, servers):
+        dead, refused = sorted(watching(forwarders))
+        await servers[dead].close(0.0)
+        shared.put("table", b"")
+        rest = {name: f for name, f in forwarders.items() if name != dead}
+        await all_at(rest, shared.revision, 4.0)
+        shared.away.add(refused)
+        shared.put("table", b"")
+        await all_at(rest, shared.revision, 9.0)
+
+
+async def test_watchers_that_lag_are_followed_on_and_the_store_is_asked_now_and_then() -> None:
+    """Eighty VMs ask a store that is away each second, each call with its price."""
+    clock = [0.0]
+    one, two = MirrorAddress("127.0.0.1", 1, True), MirrorAddress("127.0.0.1", 2, True)
+    store = NoStore()
+    choice = FollowChoice(
+        store,
+        mirrors=lambda: (one, two),
+        now=lambda: clock[0],
+        dice=random.Random(3),
+        watchers=lambda: (one, two),
+    )
+    tries = 0
+    for _ in range(60):
+        followed = choice.pick()
+        tries += not followed.is_mirror
+        await choice.failed(followed)
+        clock[0] += 0.5
+    # Thirty seconds, a try in three of them or so.
+    assert 6 <= tries <= 20
+    await choice.close()
+
+
+@pytest.mark.parametrize("lag", [0, 500])
+async def test_a_watcher_that_says_that_it_lags_is_passed_over(lag: int) -> None:
+    one, two = MirrorAddress("127.0.0.1", 1, True), MirrorAddress("127.0.0.1", 2, True)
+    choice = FollowChoice(
+        NoStore(),
+        mirrors=tuple,
+        now=lambda: 1.0,
+        dice=random.Random(3),
+        watchers=lambda: (one, two),
+    )
+    first = choice.pick()
+    first.store.behind_ms = lag  # type: ignore[attr-defined]
+    await choice.worked(first)
+    assert (choice.pick().store is first.store) == (lag == 0)
+    await choice.close()
