Tell the VMs of a data centre that it is cut off, and try again more slowly to announce a VM

Most of twenty VMs see too few requests to notice, stay ready, and the balancer goes elsewhere only when none is ready. Ruled out: each VM probing others all the time (messages at rest); passing the cut on in the merger's answers alone (a VM without requests hears none). Change: bigger VMs are the watchers; a mirror's answer says whether its VM is cut off, and at once when that changes; announcements are tried again after 1, 2, 4, 5 s.

--- a/libs/decisions/berylspindle_decisions/watchers.py
+++ b/libs/decisions/berylspindle_decisions/watchers.py
@@ -8,9 +8,12 @@
   watcher   a VM that follows the store and whose mirror others follow
   follower  any other VM
 
-Flow: each VM ranks the VMs of its data centre that it knows by a hash of their names; the first
-ones are the watchers. VMs that know the same VMs find the same ones, and nobody is asked. While
-they know different ones there are some watchers more.
+Flow: each VM ranks the VMs of its data centre that it knows by what they bear, and those alike by a
+hash of their names; the first ones are the watchers. VMs that know the same VMs find the same ones,
+and nobody is asked. While they know different ones there are some watchers more.
+
+Guard: the bigger VMs merge the searches of the others, and so are the first to see that the data
+centre is cut off; as watchers they tell all others with the next answer.
 
 Thresholds: two, so that one can fail unnoticed; one more for each `FOLLOWERS` VMs, since a follower
 asks about once a second and each answer takes a millisecond, 1.6% of a core at a watcher. Fleets
@@ -20,7 +23,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import Final
 
 from berylspindle_decisions.rendezvous import weight
@@ -29,9 +32,13 @@
 FOLLOWERS: Final = 16
 
 
-def watchers_of(vms: Iterable[str], *, data_centre: str) -> tuple[str, ...]:
-    """Return the watchers among the VMs of a data centre, best first."""
-    known = set(vms)
-    count = max(LEAST, math.ceil(len(known) / FOLLOWERS))
-    ranked = sorted(known, key=lambda name: (weight(data_centre, name), name), reverse=True)
+def watchers_of(vms: Mapping[str, float], *, data_centre: str) -> tuple[str, ...]:
+    """Return the watchers among the VMs of a data centre, best first.
+
+    `vms` holds what each VM bears, in cores (`relay_choice`).
+    """
+    count = max(LEAST, math.ceil(len(vms) / FOLLOWERS))
+    ranked = sorted(
+        vms, key=lambda name: (vms[name], weight(data_centre, name), name), reverse=True
+    )
     return tuple(ranked[:count])
--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -137,6 +137,10 @@
     def on_listed(self) -> None:
         """Take that all that there is has been told."""
 
+    @abc.abstractmethod
+    def on_told_cut_off(self, cut_off: bool) -> None:
+        """Take whether the VM whose mirror is followed is cut off from other data centres."""
+
     @abc.abstractmethod
     def on_store(self, reached: bool, detail: str) -> None:
         """Take whether the store answers."""
@@ -251,7 +255,9 @@
             self._settled_at = now + SETTLE_S
         self._mirror.set_settled(self._settled_at)
         self._mirror.set_in_step(not followed.behind_ms)
-        if not followed.is_mirror:
+        if followed.is_mirror:
+            self._listener.on_told_cut_off(followed.cut_off)
+        else:
             self._listener.on_store(True, "")
         await self._choice.worked(followed)
 
--- a/libs/forwarding/berylspindle_forwarding/follow_choice.py
+++ b/libs/forwarding/berylspindle_forwarding/follow_choice.py
@@ -57,6 +57,11 @@
         """Return how long a mirror has lagged, as it said last; 0 for the store."""
         return self.store.behind_ms if isinstance(self.store, MirrorStore) else 0
 
+    @property
+    def cut_off(self) -> bool:
+        """Tell whether the VM whose mirror this is has said that it is cut off."""
+        return isinstance(self.store, MirrorStore) and self.store.cut_off
+
     @property
     def settling_ms(self) -> int:
         """Return for how long what a mirror says to be gone may come back; 0 for the store."""
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -215,6 +215,10 @@
         """Take that all that there is has been told."""
         self._listed = True
 
+    def on_told_cut_off(self, cut_off: bool) -> None:
+        """Take whether the VM that this one follows is cut off."""
+        self._outside.told(cut_off)
+
     def on_store(self, reached: bool, detail: str) -> None:
         """Take whether the store answers."""
         if reached == self._store_reached:
@@ -265,6 +269,7 @@
 
     def _note_cut_off(self, cut_off: bool) -> None:
         self._metrics.gauge(names.CUT_OFF, int(cut_off))
+        self.mirror.set_cut_off(cut_off)
         self._log.warning("cut off from other data centres" if cut_off else "no longer cut off")
         self.on_cut_off(cut_off)
 
@@ -306,7 +311,8 @@
         """Return whose mirrors this VM follows; none where it follows the store itself."""
         here = self._options.data_centre
         near = {name: vm for name, vm in self._vms.items() if vm.data_centre == here}
-        first = watchers_of([*near, self._options.vm], data_centre=here)
+        bears = {name: vm.bears for name, vm in near.items()}
+        first = watchers_of({**bears, self._options.vm: self._options.bears}, data_centre=here)
         if self._options.vm in first:
             return ()
         return tuple(MirrorAddress(near[n].host, near[n].port, True) for n in first)
--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -67,12 +67,16 @@
 
 @attrs.frozen(kw_only=True)
 class MirrorChanges:
-    """What changed after a revision; `compacted` where the mirror no longer knows."""
+    """What changed after a revision; `compacted` where the mirror no longer knows.
+
+    `cut_off` says that its VM reaches no other data centre and needs one.
+    """
 
     revision: int
     behind_ms: int
     compacted: bool
     settling_ms: int = 0
+    cut_off: bool = False
     entries: tuple[StoredValue, ...] = ()
 
 
@@ -88,6 +92,7 @@
         self._behind_since: float | None = now()
         self._changed = asyncio.Event()
         self._settled_at = 0.0
+        self._cut_off = False
 
     @property
     def revision(self) -> int:
@@ -124,6 +129,11 @@
         elif self._behind_since is None:
             self._behind_since = self._now()
 
+    def set_cut_off(self, cut_off: bool) -> None:
+        """Tell all that follow whether this VM is cut off from other data centres."""
+        self._cut_off = cut_off
+        self._wake()
+
     def set_settled(self, at: float) -> None:
         """Note until when entries that have gone may come back, after an outage of the store."""
         self._settled_at = at
@@ -145,10 +155,11 @@
 
     async def _watch(self, query: dict[str, str]) -> MirrorChanges:
         after, wait = int(query.get("after", "0")), float(query.get("wait", "0"))
+        told_cut_off = self._cut_off
         if self._revision <= after:
             try:
                 async with asyncio.timeout(min(wait, MOST_WAIT_S)):
-                    while self._revision <= after:
+                    while self._revision <= after and self._cut_off == told_cut_off:
                         await self._changed.wait()
             except TimeoutError:
                 pass
@@ -158,6 +169,7 @@
             behind_ms=self._behind_ms(),
             compacted=compacted,
             settling_ms=self._settling_ms(),
+            cut_off=self._cut_off,
             entries=(
                 ()
                 if compacted
@@ -193,6 +205,7 @@
         self._client: Final = HttpClient(host, port, limit=2, connect_timeout=0.5)
         self.behind_ms = 0
         self.settling_ms = 0
+        self.cut_off = False
 
     async def close(self) -> None:
         """Close all connections."""
@@ -213,6 +226,7 @@
         query = {"after": str(after), "wait": f"{wait:.3f}"}
         told: MirrorChanges = await self._get(WATCH_PATH, query, wait + CALL_S, MirrorChanges)
         self.behind_ms, self.settling_ms = told.behind_ms, told.settling_ms
+        self.cut_off = told.cut_off
         found = tuple(entry for entry in told.entries if entry.key.startswith(prefix))
         return WatchResult(revision=told.revision, entries=found, compacted=told.compacted)
 
--- a/libs/forwarding/berylspindle_forwarding/outside.py
+++ b/libs/forwarding/berylspindle_forwarding/outside.py
@@ -5,10 +5,14 @@
   again at home   a route whose shards, enough of them, have a replica in this VM's own data centre
 
 Flow: `run` looks ten times a second. A VM that is cut off says so at once, unless all routes can be
-served at home, and probes peers elsewhere until one answers. Nothing is probed while all is well.
-
-Guard: a balancer sends callers of a data centre whose VMs are all unready to another one. A VM that
-is cut off and stays ready keeps them, and can answer only what its own data centre holds.
+served at home, and probes peers elsewhere until one answers. Nothing is probed while all is well. A
+VM that follows another one's mirror is `told` with each answer whether that one is cut off.
+
+Guards: where twenty VMs share a data centre's callers, most of them see too few requests to notice
+a cut themselves; the balancer goes on sending callers to each that is ready, and needs all of them
+unready to send any elsewhere. A balancer sends callers of a data centre whose VMs are all unready
+to another one. A VM that is cut off and stays ready keeps them, and can answer only what its own
+data centre holds.
 """
 
 from __future__ import annotations
@@ -27,6 +31,9 @@
 from berylspindle_wire.http_client import HttpFailure
 
 LOOK_S: Final = 0.1
+TOLD_S: Final = 2.5
+"""Seconds for which another VM's word counts: its next one comes within one, or it is gone."""
+
 PROBE_S: Final = 0.25
 
 BALANCER_S: Final = 2.1
@@ -56,6 +63,7 @@
         self._now: Final = now
         self._on_change: Final = on_change
         self._since: float | None = None
+        self._told_until = 0.0
 
     @property
     def is_cut_off(self) -> bool:
@@ -68,13 +76,18 @@
             return 0.0
         return max(0.0, self._since + BALANCER_S - now)
 
+    def told(self, cut_off: bool) -> None:
+        """Take from another VM of this data centre whether it is cut off."""
+        self._told_until = self._now() + TOLD_S if cut_off else 0.0
+
     async def run(self) -> None:
         """Look and probe until cancelled."""
         while True:
             await asyncio.sleep(LOOK_S)
-            cut_off = self._reach.is_cut_off(self._now())
-            self._note(cut_off and not self._all_at_home())
-            if cut_off:
+            now = self._now()
+            seen = self._reach.is_cut_off(now)
+            self._note((seen or now < self._told_until) and not self._all_at_home())
+            if seen:
                 await self._probe()
 
     def _note(self, cut_off: bool) -> None:
--- a/libs/forwarding/berylspindle_forwarding/vm_announcer.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_announcer.py
@@ -35,6 +35,9 @@
 about two."""
 
 RETRY_S: Final = 1.0
+RETRY_MOST_S: Final = 5.0
+"""Seconds before a call that failed is tried again: as many at first, then twice as many each time.
+Eighty VMs that try each second make four hundred calls of an outage of five seconds."""
 
 
 class VmAnnouncer:
@@ -58,15 +61,18 @@
 
     async def run(self) -> None:
         """Announce and renew until cancelled."""
+        pause = RETRY_S
         while True:
             try:
                 await self._step()
+                pause = RETRY_S
                 await asyncio.sleep(RENEW_WATCHER_S if self._is_watcher() else RENEW_S)
             except StoreLeaseGone:
                 self._lease = None
             except StoreError as error:
                 self._on_failure(str(error))
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(RETRY_S if self._is_watcher() else pause)
+                pause = min(RETRY_MOST_S, 2 * pause)
 
     async def withdraw(self) -> None:
         """End the lease, if there is one; a store that is away is not waited for."""
--- a/tests/forwarding/test_watchers.py
+++ b/tests/forwarding/test_watchers.py
@@ -210,6 +210,28 @@
         await all_at(rest, shared.revision, 9.0)
 
 
+async def test_followers_hear_at_once_that_their_data_centre_is_cut_off() -> None:
+    """Callers of a cut off data centre are refused for as long as the cut lasts.
+
+    Most of its VMs see no request in the first seconds and stay ready; the balancer sends callers
+    to another data centre only when all of them are unready.
+    """
+    async with fleet() as (_, forwarders, _):
+        followers = [f for name, f in forwarders.items() if f._watchers()]
+        watchers = [f for f in forwarders.values() if f not in followers]
+        assert all(f.unready() is None for f in forwarders.values())
+        for watcher in watchers:
+            watcher.mirror.set_cut_off(True)
+        await asyncio.sleep(0.4)
+        assert [f.unready() is None for f in followers] == [False] * len(followers)
+        await asyncio.sleep(2.0)
+        assert [f.unready() is None for f in followers] == [False] * len(followers)
+        for watcher in watchers:
+            watcher.mirror.set_cut_off(False)
+        await asyncio.sleep(0.4)
+        assert all(f.unready() is None for f in followers)
+
+
 async def test_watchers_that_lag_are_followed_on_and_the_store_is_asked_now_and_then() -> None:
     """Eighty VMs ask a store that is away each second, each call with its price."""
     clock = [0.0]
