Write a request when a connection carries it, and take back what nobody needs any more

At 81 VMs a VM may hold one connection to a replica. An attempt that waited for it kept the time that was left when it was made, and was sent when the connection came free, 0.6 s after a hedge had answered the request. Ruled out: a clock (steady on both sides); the hedge itself (in time). Change: requests are written when they are sent; attempts that still wait are withdrawn when their shard or their request is answered. The two tests fail before.

--- a/libs/forwarding/berylspindle_forwarding/drive.py
+++ b/libs/forwarding/berylspindle_forwarding/drive.py
@@ -41,6 +41,7 @@
     ExchangeConnection,
     ExchangeEnd,
     ExchangeReply,
+    ExchangeRequest,
     ExchangeSink,
 )
 from berylspindle_wire.http import HttpResponse
@@ -152,6 +153,7 @@
         finally:
             if self._timer is not None:
                 self._timer.cancel()
+            self._withdraw_waiting()
             if self._out:
                 late = self._times.deadline + LINGER_S - self._tools.now()
                 self._loop.call_later(max(0.0, late), self._end_attempts, "nobody waits")
@@ -173,6 +175,7 @@
             if race.state is not RaceState.WON:
                 race.answered(attempt.record)
                 self._take(race.service, reply)
+                self._withdraw_waiting(attempt.index)
         else:
             self._fail(now, attempt, verdict, reply)
         self._advance(attempt.index)
@@ -252,14 +255,26 @@
         self._out.add(attempt)
         self.story.sent(now, handle, step.reason)
         self._guide.note_sent(now, attempt, step.reason)
-        left_ms = (self._times.deadline - now) * 1000
-        request = replica_request(
-            self._request, self._tools.dialect, replica=step.replica, left_ms=left_ms
-        )
-        connection = handle.pool.submit(request, attempt)
+        connection = handle.pool.submit(lambda: self._written(step.replica), attempt)
         if connection is not None:
             attempt.connection = connection
 
+    def _written(self, replica: str) -> ExchangeRequest:
+        left_ms = (self._times.deadline - self._tools.now()) * 1000
+        return replica_request(self._request, self._tools.dialect, replica=replica, left_ms=left_ms)
+
+    def _withdraw_waiting(self, index: int | None = None) -> None:
+        """Take back attempts that no connection carries yet: of one race, or of all.
+
+        They would reach a replica when nobody needs their answer any more.
+        """
+        for attempt in tuple(self._out):
+            if attempt.connection is not None or index not in (None, attempt.index):
+                continue
+            if attempt.handle.pool.withdraw(attempt):
+                self._out.discard(attempt)
+                attempt.handle.standing.withdrawn(attempt)
+
     def _on_timer(self) -> None:
         self._timer = None
         if self._done.done():
--- a/libs/forwarding/berylspindle_forwarding/relay.py
+++ b/libs/forwarding/berylspindle_forwarding/relay.py
@@ -128,7 +128,7 @@
         pool = self._pool(vm)
         self._choice.sent(merger)
         late = loop.call_at(times.aim, self._on_late, merger)
-        passed.connection = pool.submit(self._request(forward, times, table), passed)
+        passed.connection = pool.submit(lambda: self._request(forward, times, table), passed)
         over = False
         try:
             async with asyncio.timeout_at(times.answer_by):
--- a/libs/forwarding/berylspindle_forwarding/replica_pool.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_pool.py
@@ -9,8 +9,9 @@
 that becomes free or is opened. A connect that fails ends all that wait as NOT_SENT, for the replica
 takes no connection just now and another one may. `withdraw` takes back what still waits.
 
-Guard: a replica takes a limited number of connections of all VMs together and resets those beyond,
-so that each VM keeps to its share of them, `limit`.
+Guards: a request may wait for longer than its caller has left, and states the time that is left; so
+it is written only when a connection carries it. A replica takes a limited number of connections of
+all VMs together and resets those beyond, so that each VM keeps to its share of them, `limit`.
 """
 
 from __future__ import annotations
@@ -31,6 +32,8 @@
     open_exchanges,
 )
 
+WriteRequest = Callable[[], ExchangeRequest]
+
 ASK_AFTER_S: Final = 0.5
 """Seconds of idleness after which the kernel is asked whether a connection has ended; replicas
 close theirs after several seconds."""
@@ -69,7 +72,7 @@
         self._loop: Final = asyncio.get_running_loop()
         self._open: Final[set[ExchangeConnection]] = set()
         self._free: Final[list[ExchangeConnection]] = []
-        self._waiting: Final[deque[tuple[ExchangeRequest, ExchangeSink]]] = deque()
+        self._waiting: Final[deque[tuple[WriteRequest, ExchangeSink]]] = deque()
         self._tasks: Final[set[asyncio.Task[None]]] = set()
         self._closed = False
 
@@ -78,18 +81,19 @@
         """Return how many connections are open or being opened."""
         return len(self._open) + len(self._tasks)
 
-    def submit(self, request: ExchangeRequest, sink: ExchangeSink) -> ExchangeConnection | None:
+    def submit(self, write: WriteRequest, sink: ExchangeSink) -> ExchangeConnection | None:
         """Send a request, or let it wait; return the connection that carries it, if one does.
 
-        A request that waits gets its connection by `sink.on_carried`.
+        `write` returns the request as it is at that moment. One that waits gets its connection by
+        `sink.on_carried`.
         """
         while self._free:
-            connection = self._free.pop()
+            connection, request = self._free.pop(), write()
             if self._is_trusted(connection, request):
                 connection.send(request, sink)
                 return connection
             connection.close()
-        self._waiting.append((request, sink))
+        self._waiting.append((write, sink))
         self._open_more()
         return None
 
@@ -169,9 +173,9 @@
                 self._open_more()
             return
         while self._waiting:
-            request, sink = self._waiting.popleft()
+            write, sink = self._waiting.popleft()
             sink.on_carried(connection)
-            connection.send(request, sink)
+            connection.send(write(), sink)
             return
         self._free.append(connection)
 
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -7,7 +7,7 @@
 import pytest
 from forward_site import DIALECT, HOST, open_site, plain_route
 
-from berylspindle_model.routing import WeightedService
+from berylspindle_model.routing import ServiceRules, WeightedService
 from berylspindle_standins.forward_replica import Spoil, answer_body, signature_of
 
 NOT_RUN = {429, 503}
@@ -252,3 +252,39 @@
         await asyncio.sleep(0.85)
         assert (await site.ask("/booking/2", method="POST", body=b"{}")).status == 200
         assert replica.counts.connections == 2
+
+
+async def test_what_waits_for_a_connection_is_not_sent_once_it_is_answered_elsewhere() -> None:
+    """A replica gets a request long after its caller has been answered, with time that is over.
+
+    A VM may hold one connection to each replica, and the first one's is busy with long work. A
+    second request waits for it, is hedged, and answered by the other replica.
+    """
+    async with open_site() as site:
+        slow = await site.replica("slow", "booking")
+        rules = ServiceRules(name="booking", max_connections=1)
+        site.route(plain_route(aim_ms=200), booking=rules)
+        slow.behaviour.work = 0.6
+        first = asyncio.create_task(site.ask("/booking/first"))
+        await asyncio.sleep(0.05)
+        await site.replica("quick", "booking", data_centre="b")
+        # Known to be slow, so that the second request first waits for the other one.
+        standing = site.forwarder.book.get("quick").standing
+        standing._pace, standing._pace_at = 9.0, asyncio.get_running_loop().time()
+        told = await site.ask("/booking/second", left_ms=3000)
+        assert told.status == 200
+        assert (await first).status == 200
+        await asyncio.sleep(0.8)
+        assert slow.counts.targets == ["/booking/first"]
+
+
+async def test_what_has_waited_for_a_connection_states_the_time_that_is_left_then() -> None:
+    async with open_site() as site:
+        only = await site.replica("only", "booking")
+        site.route(plain_route(), booking=ServiceRules(name="booking", max_connections=1))
+        only.behaviour.work = 0.3
+        first = asyncio.create_task(site.ask("/booking/first"))
+        await asyncio.sleep(0.05)
+        assert (await site.ask("/booking/second", left_ms=2000)).status == 200
+        assert (await first).status == 200
+        assert only.counts.times_left[-1] <= 1800
