List the one that forgot its history, and follow the store where all watchers lag

Its watchers were cut off from the store; it asked the store now and then, was told that its history was gone, and then listed a watcher's mirror anew, which was as old as before; so again at each try. Ruled out: a late answer of the store, a lost watch (no call failed), the processor (0.2 of a core). Change: whoever says that its history is gone is the one that is listed; a store that answers while all watchers lag is followed for three seconds.

--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -197,7 +197,7 @@
             if not followed.is_mirror:
                 await asyncio.sleep(COLLECT_S if self._is_used() else COLLECT_UNUSED_S)
 
-    async def _step(self, followed: Followed, after: int | None) -> int | None:
+    async def _step(self, followed: Followed, after: int | None) -> int:
         if after is None:
             return await self._list(followed)
         return await self._watch(followed, after)
@@ -220,14 +220,15 @@
         self._listener.on_listed()
         return revision
 
-    async def _watch(self, followed: Followed, after: int) -> int | None:
+    async def _watch(self, followed: Followed, after: int) -> int:
         wait = WATCH_S if followed.wait is None else followed.wait
         if self._going:
             wait = min(wait, max(0.05, self._settled_at - self._now()))
         result = await self._watched(followed, after, wait)
         await self._reached(followed)
         if result.compacted:
-            return None
+            # Of the same one: a mirror that lags would be listed as old as before.
+            return await self._list(followed)
         self._mirror.add(result.entries, result.revision)
         for entry in result.entries:
             self._take(entry)
--- a/libs/forwarding/berylspindle_forwarding/follow_choice.py
+++ b/libs/forwarding/berylspindle_forwarding/follow_choice.py
@@ -7,10 +7,10 @@
 
 Flow: the catalogue asks `pick` before each call and reports how it went. A VM that is no watcher
 follows one of the watchers; one that failed, or says that it lags, is passed over for a while, and
-where all are the store is asked now and then. A watcher follows the store while it answers. While
-it is away the calls go to mirrors and the store in turn: a mirror keeps this VM up to date, and a
-short try shows when the store is back. A mirror that failed is passed over for a while; one that
-isn't in step itself is followed only while no other is.
+where all are the store is asked now and then, and followed for a while if it answers. A watcher
+follows the store while it answers. While it is away the calls go to mirrors and the store in turn:
+a mirror keeps this VM up to date, and a short try shows when the store is back. A mirror that
+failed is passed over for a while; one that isn't in step itself is followed only while no other is.
 
 Guard: the store may turn some VMs away while it serves the others, and a VM may start while the
 store is away; without its peers such a VM serves by old routes, or by none.
@@ -83,6 +83,8 @@
         """Take also what returns the watchers to follow, none where this VM is one itself."""
         self._watchers: Final = watchers
         self._store_try_at = 0.0
+        self._store_until = 0.0
+        self._is_try = False
         self._store: Final = store
         self._mirrors: Final = mirrors
         self._now: Final = now
@@ -113,6 +115,9 @@
         """Note that a call was answered."""
         if not followed.is_mirror:
             self._away = False
+            if self._is_try:
+                self._is_try = False
+                self._store_until = self._now() + PASSED_OVER_S
             await self._leave()
         elif followed.behind_ms:
             await self._pass_over()
@@ -121,6 +126,7 @@
         """Note that a call was not answered."""
         if not followed.is_mirror:
             self._away, self._store_next = True, True
+            self._store_until, self._is_try = 0.0, False
             return
         await self._pass_over()
 
@@ -133,9 +139,12 @@
             # One that is no watcher any more is left when it fails or lags, as any other.
             return Followed(self._current[1], MIRROR_WAIT_S, True)
         now = self._now()
+        if now < self._store_until:
+            return Followed(self._store, self._store_until - now, False)
         known = [a for a in watchers if self._passed_over.get(a, now) <= now]
         if not known and now >= self._store_try_at:
             self._store_try_at = now + STORE_TRY_S * (0.5 + self._dice.random())
+            self._is_try = True
             return Followed(self._store, PROBE_WAIT_S, False)
         address = self._dice.choice(known or watchers)
         self._current = (address, MirrorStore(address.host, address.port))
--- a/tests/forwarding/test_watchers.py
+++ b/tests/forwarding/test_watchers.py
@@ -63,6 +63,14 @@
         self.calls: Counter[str] = Counter()
         self.away: set[str] = set()
         self.changed = asyncio.Event()
+        self.oldest = 0
+
+    def forget(self) -> None:
+        """Drop the history; watches that wait are cut."""
+        self.oldest = self.revision
+        self.history.clear()
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
 
     def put(self, key: str, value: bytes | None) -> None:
         self.revision += 1
@@ -89,12 +97,17 @@
 
     async def watch(self, prefix: str, *, after: int, wait: float) -> WatchResult:
         self._count("watch")
+        if after < self._shared.oldest:
+            return WatchResult(revision=after, compacted=True)
+        oldest = self._shared.oldest
         try:
             async with asyncio.timeout(wait):
-                while self._shared.revision <= after:
+                while self._shared.revision <= after and self._shared.oldest == oldest:
                     await self._shared.changed.wait()
         except TimeoutError:
             pass
+        if self._shared.oldest != oldest:
+            raise StoreAway("cut")
         self._count("answered")
         found = tuple(entry for entry in self._shared.history if entry.revision > after)
         return WatchResult(revision=self._shared.revision, entries=found)
@@ -210,6 +223,32 @@
         await all_at(rest, shared.revision, 9.0)
 
 
+async def test_followers_of_watchers_that_lag_follow_the_store_though_its_history_is_gone() -> None:
+    """A data centre routes by an old table for seconds after the store has dropped its history.
+
+    Both watchers are cut off from the store, the others are not. These ask the store now and then,
+    hear that its history is gone, and list a watcher's mirror anew, which is as old as before.
+    """
+    async with fleet() as (shared, forwarders, _):
+        watchers = watching(forwarders)
+        rest = {name: f for name, f in forwarders.items() if name not in watchers}
+        shared.away |= watchers
+        shared.put("table", b"")
+        shared.forget()
+        await all_at(rest, shared.revision, 4.0)
+        for _ in range(3):
+            await asyncio.sleep(1.0)
+            shared.put("table", b"")
+            shared.forget()
+            await all_at(rest, shared.revision, 3.0)
+        shared.away.clear()
+        await asyncio.sleep(4.0)
+        shared.calls.clear()
+        shared.put("table", b"")
+        await all_at(forwarders, shared.revision, 2.5)
+        assert shared.calls["answered"] <= 4
+
+
 async def test_followers_hear_at_once_that_their_data_centre_is_cut_off() -> None:
     """Callers of a cut off data centre are refused for as long as the cut lasts.
 
