--- a/libs/daemon/berylspindle_daemon/daemon.py
+++ b/libs/daemon/berylspindle_daemon/daemon.py
@@ -43,7 +43,8 @@
 from berylspindle_model.events import EventKind
 from berylspindle_model.topology import ClusterState, Vm
 from berylspindle_store.claims import ClaimOptions, Claims
-from berylspindle_store.http_store import HttpStore, StoreOptions, open_store
+from berylspindle_store.connections import StoreOptions
+from berylspindle_store.http_store import HttpStore, open_store
 from berylspindle_store.store import Store, StoreAway
 from berylspindle_store.vm_list import HttpVmList, VmRole, VmState, open_vm_list
 from berylspindle_telemetry import metric_names as names
--- a/libs/decisions/berylspindle_decisions/rendezvous.py
+++ b/libs/decisions/berylspindle_decisions/rendezvous.py
@@ -12,11 +12,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import xxhash
 
-from berylspindle_model.topology import Vm
+if TYPE_CHECKING:
+    from berylspindle_model.topology import Vm
 
 _SEPARATOR: Final = "\x00"
 
--- a/libs/store/berylspindle_store/http_store.py
+++ b/libs/store/berylspindle_store/http_store.py
@@ -13,10 +13,9 @@
 
 from typing import Final, Self, TypeVar
 
-import attrs
-
 from berylspindle_model import codec
 from berylspindle_store import routes
+from berylspindle_store.connections import StoreOptions, platform_pool
 from berylspindle_store.store import (
     Lease,
     ListResult,
@@ -29,42 +28,17 @@
     StoreUnsure,
     WatchResult,
 )
-from berylspindle_wire.http import HttpLimits, HttpRequest, HttpResponse
+from berylspindle_wire.http import HttpRequest, HttpResponse
 from berylspindle_wire.http_client import FailurePhase, HttpFailure
-from berylspindle_wire.http_pool import ConnectionPool
 
 T = TypeVar("T")
 
-# A list of entries near the largest value, in base64, with room for several.
-REPLY_BYTES: Final = 16 * 1024 * 1024
-
-# Idle connections are not probed: a probe would count as a call to the platform.
-_NEVER_PROBE: Final = 24 * 3600.0
 
 # Share of a call's timeout after which a connection without any sign of life counts as silent;
 # the rest of the time is too short for another try and is left to the caller.
 _SILENT_SHARE: Final = 0.9
 
 
-@attrs.frozen(kw_only=True)
-class StoreOptions:
-    """Times and bounds of the client of the platform.
-
-    Attributes:
-        connect_timeout: seconds for a new connection.
-        read_timeout: seconds for a read until its reply is whole.
-        write_timeout: seconds for a write; past it the write may still take effect.
-        watch_slack: seconds that a watch's reply may take beyond its own wait.
-        connections: most open connections, waiting watches included.
-    """
-
-    connect_timeout: float = 0.5
-    read_timeout: float = 1.0
-    write_timeout: float = 1.0
-    watch_slack: float = 1.0
-    connections: int = 16
-
-
 class HttpStore(Store):
     """Speak the platform's protocol; needs a running event loop when made."""
 
@@ -182,19 +156,6 @@
     return HttpStore(host, port, options or StoreOptions())
 
 
-def platform_pool(host: str, port: int, options: StoreOptions) -> ConnectionPool:
-    """Return the pool of connections to the platform."""
-    return ConnectionPool(
-        host,
-        port,
-        limit=options.connections,
-        spare=0,
-        connect_timeout=options.connect_timeout,
-        idle_probe_after=_NEVER_PROBE,
-        limits=HttpLimits(body_bytes=REPLY_BYTES),
-    )
-
-
 def _require_ok(response: HttpResponse, otherwise: type[StoreError]) -> None:
     """Raise `otherwise` for any status but success and a plain refusal."""
     if response.status == routes.STATUS_OK:
--- a/libs/store/berylspindle_store/vm_list.py
+++ b/libs/store/berylspindle_store/vm_list.py
@@ -18,7 +18,7 @@
 
 from berylspindle_model import codec
 from berylspindle_store import routes
-from berylspindle_store.http_store import StoreOptions, platform_pool
+from berylspindle_store.connections import StoreOptions, platform_pool
 from berylspindle_store.store import StoreAway
 from berylspindle_wire.http import HttpRequest
 from berylspindle_wire.http_client import HttpFailure
--- a/tests/platform_adapter/test_platform_store.py
+++ b/tests/platform_adapter/test_platform_store.py
@@ -10,7 +10,7 @@
 from kv_standin import KvStandin, open_kv
 
 from berylspindle_adapter.platform_store import PlatformStore
-from berylspindle_store.http_store import StoreOptions
+from berylspindle_store.connections import StoreOptions
 from berylspindle_store.store import (
     StoreAway,
     StoreConflict,
--- a/tests/standins/test_platform_standin.py
+++ b/tests/standins/test_platform_standin.py
@@ -12,7 +12,8 @@
 from berylspindle_standins.platform_faults import PlatformChange
 from berylspindle_standins.platform_standin import PlatformStandin, start_platform
 from berylspindle_standins.store_state import StoreState
-from berylspindle_store.http_store import HttpStore, StoreOptions, open_store
+from berylspindle_store.connections import StoreOptions
+from berylspindle_store.http_store import HttpStore, open_store
 from berylspindle_store.store import StoreAway, StoreUnsure
 from berylspindle_wire.client import HttpClient
 
--- a/tests/store/test_claims.py
+++ b/tests/store/test_claims.py
@@ -21,7 +21,8 @@
     claim_path,
 )
 from berylspindle_store.claims import ClaimOptions, Claims
-from berylspindle_store.http_store import HttpStore, StoreOptions, open_store
+from berylspindle_store.connections import StoreOptions
+from berylspindle_store.http_store import HttpStore, open_store
 from berylspindle_store.store import StoreAway
 
 OPTIONS = StoreOptions(read_timeout=0.3, write_timeout=0.3)
--- a/tests/store/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -9,7 +9,8 @@
 
 from berylspindle_standins.platform_faults import PlatformChange
 from berylspindle_standins.platform_standin import PlatformStandin, start_platform
-from berylspindle_store.http_store import HttpStore, StoreOptions, open_store
+from berylspindle_store.connections import StoreOptions
+from berylspindle_store.http_store import HttpStore, open_store
 from berylspindle_store.routes import VmDocument
 from berylspindle_store.store import (
     StoreAway,
