Give mergers half of what all VMs share

Cause: connections to a replica, extra arrivals and requests to a cold one were divided by the number of VMs. At 81 VMs a merger, which carries a seventh of all searches of its data centre or more, had one connection to each replica, and searches waited for each other's. Ruled out: parts by what VMs bear (small ones would have under one connection each, and need one).

--- a/libs/decisions/berylspindle_decisions/relay_choice.py
+++ b/libs/decisions/berylspindle_decisions/relay_choice.py
@@ -57,6 +57,22 @@
     return max(0.01, min(cores, link_mbps / MBPS_PER_CORE))
 
 
+def count_alike(own: float, others: Iterable[float]) -> int:
+    """Return by how many VMs like this one what all VMs share is to be divided.
+
+    What a replica takes of all VMs together (connections, extra arrivals, requests while it is
+    cold) is mostly used by the mergers. So they have one half of it, and the other VMs the other;
+    divided by 81 each VM would have one connection to a replica, and on a merger searches would
+    wait for each other. Of VMs that are all alike each has its even part.
+    """
+    known = [own, *others]
+    least = min(known)
+    mergers = sum(bears >= BIGGER * least for bears in known)
+    if not mergers:
+        return len(known)
+    return 2 * mergers if own >= BIGGER * least else 2 * (len(known) - mergers)
+
+
 class RelayChoice:
     """What one VM knows of the bigger ones; times are seconds of its clock."""
 
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -17,6 +17,7 @@
 
 from berylspindle_decisions.extra_share import ExtraBounds
 from berylspindle_decisions.reach import Reach
+from berylspindle_decisions.relay_choice import count_alike
 from berylspindle_decisions.watchers import watchers_of
 from berylspindle_forwarding.attempt_guide import ForwardTools
 from berylspindle_forwarding.catalogue import (
@@ -91,6 +92,7 @@
         self._metrics: Final = metrics
         self._log: Final = logger("forwarding")
         self._vms: dict[str, VmEntry] = {}
+        self._alike = 1
         self._out: set[str] = set()
         self._listed = False
         self._shutting_down = False
@@ -278,6 +280,8 @@
             self._vms[change.id] = change.vm
         else:
             self._vms.pop(change.id, None)
+        others = [vm.bears for name, vm in self._vms.items() if name != self._options.vm]
+        self._alike = count_alike(self._options.bears, others)
         self._log.info(
             "VM announced" if change.vm is not None else "VM gone",
             extra={"id": change.id, "vms": len(self._vms)},
@@ -336,7 +340,8 @@
         return asyncio.get_running_loop().time() - self.front.last_request < USED_S
 
     def _vm_count(self) -> int:
-        return max(len(self._vms), self._options.expected_vms)
+        """Return by how many VMs like this one the shared bounds are divided."""
+        return max(self._alike, self._options.expected_vms)
 
 
 def _announcer(
--- a/tests/decisions/test_load_relay.py
+++ b/tests/decisions/test_load_relay.py
@@ -11,6 +11,7 @@
     RelayChoice,
     RelayVm,
     bears_of,
+    count_alike,
 )
 
 BIG = (RelayVm("big-1", 2.15), RelayVm("big-2", 2.15))
@@ -56,6 +57,22 @@
     assert pick(choice, now=DOUBT_LONG + 0.01, u=0.0) in ("big-1", "big-2")
 
 
+def test_what_all_vms_share_is_divided_so_that_no_more_than_all_of_it_is_used() -> None:
+    """A replica resets connections, or falls over cold, for the parts of all VMs exceed its bound.
+
+    Divided evenly by 81, a merger would have one connection and no hedge to spare.
+    """
+    fleet = [2.15] * 8 + [0.516] * 73
+    parts = []
+    for index, own in enumerate(fleet):
+        others = fleet[:index] + fleet[index + 1 :]
+        parts.append(1 / count_alike(own, others))
+    assert abs(sum(parts) - 1.0) < 1e-9
+    assert parts[0] == 1 / 16
+    assert count_alike(1.07, [1.07] * 7) == 8
+    assert count_alike(1.0, []) == 1
+
+
 def test_a_link_can_bind_a_vm_with_cores_to_spare() -> None:
     assert bears_of(cores=2.0, link_mbps=1000.0) == 2.0
     assert bears_of(cores=2.0, link_mbps=8.0) == 0.5
