Have one watcher a data centre follow the store, and never take a stopgap for being in step

And a fault of the watchers' own, found by the test of lagging watchers: a watcher that the store turned away followed any VM that was in step and called itself in step, and that VM followed it: both kept an old table for good. Change: the second watcher follows the first, and asks the store as soon as that one is silent, fails or lags (1.6 s); changes collect for half a second; whoever follows a mirror for want of the store and of watchers is not in step; a watcher that was passed over is asked by a short call whether it still lags. Ruled out: an age of what a mirror tells (detects a circle only after seconds).

--- a/libs/decisions/berylspindle_decisions/watchers.py
+++ b/libs/decisions/berylspindle_decisions/watchers.py
@@ -1,11 +1,11 @@
-"""Which VMs of a data centre follow the store by themselves; the others follow these.
+"""Which VMs of a data centre the others follow; the first of them follows the store.
 
 Pattern of load: each call to the store costs, a waiting watch as one, and its rates grow more
 slowly than the fleet. Where each of 81 VMs watches the store, each change is some 81 calls, and the
 calls of a quiet day take 0.075 of its worth; with a few watchers a data centre 0.02.
 
 Terms:
-  watcher   a VM that follows the store and whose mirror others follow
+  watcher   a VM whose mirror others follow; the first one follows the store, the others the first
   follower  any other VM
 
 Flow: each VM ranks the VMs of its data centre that it knows by what they bear, and those alike by a
@@ -15,9 +15,10 @@
 Guard: the bigger VMs merge the searches of the others, and so are the first to see that the data
 centre is cut off; as watchers they tell all others with the next answer.
 
-Thresholds: two, so that one can fail unnoticed; one more for each `FOLLOWERS` VMs, since a follower
-asks about once a second and each answer takes a millisecond, 1.6% of a core at a watcher. Fleets
-with two VMs or fewer in a data centre have no followers.
+Thresholds: two, so that one can fail unnoticed: the second asks the store as soon as the first is
+silent, fails or lags, which takes 1.6 s of the three that a change may take; one more for each
+`FOLLOWERS` VMs, since a follower asks about once a second and each answer takes a millisecond, 1.6%
+of a core at a watcher. Fleets with two VMs or fewer in a data centre have no followers.
 """
 
 from __future__ import annotations
--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -35,10 +35,10 @@
 WATCH_S: Final = 28.0
 """Seconds that a watch waits: the longest that the store takes, less its way there."""
 
-COLLECT_S: Final = 0.25
+COLLECT_S: Final = 0.5
 """Seconds between the answer to a watch and the next one, in which changes collect: each call to
 the store costs, and a release changes tens of entries one by one. The bounds on following a change
-are ten times as long."""
+are six times as long."""
 
 COLLECT_UNUSED_S: Final = 1.5
 """The same while this VM has had no request of a caller for some seconds, as right after its start,
@@ -255,7 +255,7 @@
         elif self._choice.store_away:
             self._settled_at = now + SETTLE_S
         self._mirror.set_settled(self._settled_at)
-        self._mirror.set_in_step(not followed.behind_ms)
+        self._mirror.set_in_step(not followed.behind_ms and not followed.is_stopgap)
         if followed.is_mirror:
             self._listener.on_told_cut_off(followed.cut_off)
         else:
--- a/libs/forwarding/berylspindle_forwarding/follow_choice.py
+++ b/libs/forwarding/berylspindle_forwarding/follow_choice.py
@@ -46,11 +46,17 @@
 
 @attrs.frozen
 class Followed:
-    """Whom to call, and how long a watch of it may wait; None where it may as long as is usual."""
+    """Whom to call, and how long a watch of it may wait; None where it may as long as is usual.
+
+    `is_stopgap` is a mirror of any VM, for want of the store and of watchers. Whoever follows one
+    is not in step itself: the other VM may follow this one, and both would take themselves for
+    current.
+    """
 
     store: Store
     wait: float | None
     is_mirror: bool
+    is_stopgap: bool = False
 
     @property
     def behind_ms(self) -> int:
@@ -93,6 +99,7 @@
         self._store_next = True
         self._passed_over: dict[MirrorAddress, float] = {}
         self._current: tuple[MirrorAddress, MirrorStore] | None = None
+        self._left: list[MirrorStore] = []
 
     @property
     def store_away(self) -> bool:
@@ -109,7 +116,7 @@
         mirror = None if self._store_next else self._mirror()
         if mirror is None:
             return Followed(self._store, PROBE_WAIT_S, False)
-        return Followed(mirror, MIRROR_WAIT_S, True)
+        return Followed(mirror, MIRROR_WAIT_S, True, is_stopgap=True)
 
     async def worked(self, followed: Followed) -> None:
         """Note that a call was answered."""
@@ -121,11 +128,16 @@
             await self._leave()
         elif followed.behind_ms:
             await self._pass_over()
+        elif self._current is not None:
+            self._passed_over.pop(self._current[0], None)
 
     async def failed(self, followed: Followed) -> None:
         """Note that a call was not answered."""
         if not followed.is_mirror:
             self._away, self._store_next = True, True
+            if not self._is_try:
+                # A watch that was cut says little; the store is tried again at once.
+                self._store_try_at = self._now()
             self._store_until, self._is_try = 0.0, False
             return
         await self._pass_over()
@@ -135,10 +147,12 @@
         await self._leave()
 
     def _pick_watcher(self, watchers: tuple[MirrorAddress, ...]) -> Followed:
+        now = self._now()
         if self._current is not None:
             # One that is no watcher any more is left when it fails or lags, as any other.
-            return Followed(self._current[1], MIRROR_WAIT_S, True)
-        now = self._now()
+            stopgap = self._current[0] not in watchers
+            if not stopgap or now < self._store_try_at:
+                return Followed(self._current[1], MIRROR_WAIT_S, True, is_stopgap=stopgap)
         if now < self._store_until:
             return Followed(self._store, self._store_until - now, False)
         known = [a for a in watchers if self._passed_over.get(a, now) <= now]
@@ -146,9 +160,16 @@
             self._store_try_at = now + STORE_TRY_S * (0.5 + self._dice.random())
             self._is_try = True
             return Followed(self._store, PROBE_WAIT_S, False)
+        if not known and self._away and (mirror := self._mirror()) is not None:
+            # Neither the watchers nor the store: any other VM may know more.
+            return Followed(mirror, MIRROR_WAIT_S, True, is_stopgap=True)
         address = self._dice.choice(known or watchers)
+        if self._current is not None:
+            self._left.append(self._current[1])
         self._current = (address, MirrorStore(address.host, address.port))
-        return Followed(self._current[1], MIRROR_WAIT_S, True)
+        # One that was passed over says at once whether it still lags.
+        doubted = address in known and address in self._passed_over
+        return Followed(self._current[1], PROBE_WAIT_S if doubted else MIRROR_WAIT_S, True)
 
     def _mirror(self) -> MirrorStore | None:
         if self._current is not None:
@@ -172,5 +193,8 @@
 
     async def _leave(self) -> None:
         current, self._current = self._current, None
+        left, self._left = self._left, []
         if current is not None:
-            await current[1].close()
+            left.append(current[1])
+        for mirror in left:
+            await mirror.close()
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -312,13 +312,16 @@
         }
 
     def _watchers(self) -> tuple[MirrorAddress, ...]:
-        """Return whose mirrors this VM follows; none where it follows the store itself."""
+        """Return whose mirrors this VM follows; none where it follows the store itself.
+
+        The first watcher follows the store, the others the first, and all other VMs any of them.
+        """
         here = self._options.data_centre
         near = {name: vm for name, vm in self._vms.items() if vm.data_centre == here}
         bears = {name: vm.bears for name, vm in near.items()}
         first = watchers_of({**bears, self._options.vm: self._options.bears}, data_centre=here)
         if self._options.vm in first:
-            return ()
+            first = first[:1] if self._options.vm != first[0] else ()
         return tuple(MirrorAddress(near[n].host, near[n].port, True) for n in first)
 
     def _on_announce_failed(self, detail: str) -> None:
--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -48,6 +48,9 @@
 
 MOST_WAIT_S: Final = 5.0
 CALL_S: Final = 1.0
+WATCH_SLACK_S: Final = 0.6
+"""Seconds that a mirror's answer may take beyond its wait. It is a millisecond away; one that is
+silent is left early enough that the store can still be asked within the bounds on changes."""
 
 
 @attrs.frozen(kw_only=True)
@@ -224,7 +227,9 @@
         """Wait for changes under a prefix."""
         wait = min(wait, MOST_WAIT_S)
         query = {"after": str(after), "wait": f"{wait:.3f}"}
-        told: MirrorChanges = await self._get(WATCH_PATH, query, wait + CALL_S, MirrorChanges)
+        told: MirrorChanges = await self._get(
+            WATCH_PATH, query, wait + WATCH_SLACK_S, MirrorChanges
+        )
         self.behind_ms, self.settling_ms = told.behind_ms, told.settling_ms
         self.cut_off = told.cut_off
         found = tuple(entry for entry in told.entries if entry.key.startswith(prefix))
