--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from typing import Final
 
@@ -17,8 +17,6 @@
 
 from berylspindle_decisions.extra_share import ExtraBounds
 from berylspindle_decisions.reach import Reach
-from berylspindle_decisions.relay_choice import count_alike
-from berylspindle_decisions.watchers import watchers_of
 from berylspindle_forwarding.attempt_guide import ForwardTools
 from berylspindle_forwarding.catalogue import (
     Catalogue,
@@ -41,6 +39,7 @@
 from berylspindle_forwarding.replica_book import ColdBounds, ReplicaBook
 from berylspindle_forwarding.replica_pool import PoolOptions
 from berylspindle_forwarding.vm_announcer import VmAnnouncer
+from berylspindle_forwarding.vm_book import VmBook
 from berylspindle_model import codec
 from berylspindle_model.errors import ErrorKind, Refusal
 from berylspindle_store.store import Store
@@ -91,8 +90,14 @@
         self._options: Final = options
         self._metrics: Final = metrics
         self._log: Final = logger("forwarding")
-        self._vms: dict[str, VmEntry] = {}
-        self._alike = 1
+        self.vms: Final = VmBook(
+            vm=options.vm,
+            data_centre=options.data_centre,
+            bears=options.bears,
+            peers=options.peers,
+            seeds=options.seeds,
+            expected_vms=options.expected_vms,
+        )
         self._out: set[str] = set()
         self._listed = False
         self._shutting_down = False
@@ -105,7 +110,7 @@
             data_centre=options.data_centre,
             now=loop.time,
             u=random.random,
-            vms=self._vm_count,
+            vms=lambda: self.vms.alike,
             pool_options=options.pool,
             cold=options.cold,
             reach=self._reach,
@@ -117,14 +122,14 @@
             dialect=options.dialect,
             metrics=metrics,
             now=loop.time,
-            vms=self._vm_count,
+            vms=lambda: self.vms.alike,
             until_elsewhere=lambda now: self._outside.until_elsewhere(now),
             bounds=options.extra,
             started=loop.time(),
         )
         self._relay: Final = Relay(
             bears=options.bears,
-            vms=self._others_here,
+            vms=self.vms.others_here,
             dialect=options.dialect,
             metrics=metrics,
             now=loop.time,
@@ -135,7 +140,7 @@
             self._reach,
             self.book,
             data_centre=options.data_centre,
-            vms=lambda: tuple(self._vms.values()),
+            vms=lambda: self.vms.entries,
             table=lambda: self.front.table,
             now=loop.time,
             on_change=self._note_cut_off,
@@ -143,10 +148,10 @@
         self.mirror: Final = Mirror(loop.time)
         self._choice: Final = FollowChoice(
             store,
-            mirrors=self._mirrors,
+            mirrors=self.vms.mirrors,
             now=loop.time,
             dice=random.Random(),
-            watchers=self._watchers,
+            watchers=self.vms.watchers,
         )
         self._catalogue: Final = Catalogue(
             self._choice,
@@ -158,7 +163,7 @@
             u=random.random,
         )
         self._announcer: Final = _announcer(
-            options, store, self._on_announce_failed, lambda: not self._watchers()
+            options, store, self._on_announce_failed, lambda: not self.vms.watchers()
         )
         metrics.gauge_function(names.REPLICAS_KNOWN, lambda: len(self.book))
 
@@ -276,54 +281,16 @@
         self.on_cut_off(cut_off)
 
     def _take_vm(self, change: VmChange) -> None:
-        if change.vm is not None:
-            self._vms[change.id] = change.vm
-        else:
-            self._vms.pop(change.id, None)
-        others = [vm.bears for name, vm in self._vms.items() if name != self._options.vm]
-        self._alike = count_alike(self._options.bears, others)
+        self.vms.take(change)
         self._log.info(
             "VM announced" if change.vm is not None else "VM gone",
-            extra={"id": change.id, "vms": len(self._vms)},
+            extra={"id": change.id, "vms": len(self.vms)},
         )
 
-    def _mirrors(self) -> tuple[MirrorAddress, ...]:
-        """Return where peers' mirrors are read: of VMs that are known, and of seeds."""
-        here = self._options.data_centre
-        known = {
-            (vm.host, vm.port): MirrorAddress(vm.host, vm.port, vm.data_centre == here)
-            for vm in self._vms.values()
-        }
-        for seed in self._options.seeds:
-            known.setdefault((seed.host, seed.port), seed)
-        if self._options.peers is not None:
-            known.pop((self._options.peers.host, self._options.peers.port), None)
-        return tuple(known.values())
-
     def _may_begin(self) -> bool:
         """Tell whether this VM takes work of other VMs."""
         return not self._shutting_down
 
-    def _others_here(self) -> Mapping[str, VmEntry]:
-        """Return the other VMs of this one's data centre."""
-        here, own = self._options.data_centre, self._options.vm
-        return {
-            name: vm for name, vm in self._vms.items() if vm.data_centre == here and name != own
-        }
-
-    def _watchers(self) -> tuple[MirrorAddress, ...]:
-        """Return whose mirrors this VM follows; none where it follows the store itself.
-
-        The first watcher follows the store, the others the first, and all other VMs any of them.
-        """
-        here = self._options.data_centre
-        near = {name: vm for name, vm in self._vms.items() if vm.data_centre == here}
-        bears = {name: vm.bears for name, vm in near.items()}
-        first = watchers_of({**bears, self._options.vm: self._options.bears}, data_centre=here)
-        if self._options.vm in first:
-            first = first[:1] if self._options.vm != first[0] else ()
-        return tuple(MirrorAddress(near[n].host, near[n].port, True) for n in first)
-
     def _on_announce_failed(self, detail: str) -> None:
         self._metrics.count(names.ANNOUNCE_FAILED)
         self._log.debug("this VM is not announced", extra={"detail": detail})
@@ -342,10 +309,6 @@
     def _is_used(self) -> bool:
         return asyncio.get_running_loop().time() - self.front.last_request < USED_S
 
-    def _vm_count(self) -> int:
-        """Return by how many VMs like this one the shared bounds are divided."""
-        return max(self._alike, self._options.expected_vms)
-
 
 def _announcer(
     options: ForwardOptions,
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/vm_book.py
@@ -0,0 +1,92 @@
+"""The other VMs of the system, as their announcements tell of them.
+
+Flow: the forwarder hands each announcement to `take`; who follows whom, whom searches are passed
+to, and by how many VMs shared bounds are divided, is answered from here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final
+
+from berylspindle_decisions.relay_choice import count_alike
+from berylspindle_decisions.watchers import watchers_of
+from berylspindle_forwarding.catalogue import VmChange, VmEntry
+from berylspindle_forwarding.follow_choice import MirrorAddress
+
+
+class VmBook:
+    """All VMs that this one knows, itself among them once it is announced."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        data_centre: str,
+        bears: float,
+        peers: MirrorAddress | None,
+        seeds: tuple[MirrorAddress, ...],
+        expected_vms: int,
+    ) -> None:
+        self._vm: Final = vm
+        self._data_centre: Final = data_centre
+        self._bears: Final = bears
+        self._peers: Final = peers
+        self._seeds: Final = seeds
+        self._expected_vms: Final = expected_vms
+        self._vms: dict[str, VmEntry] = {}
+        self._alike = 1
+
+    def __len__(self) -> int:
+        return len(self._vms)
+
+    @property
+    def entries(self) -> tuple[VmEntry, ...]:
+        """Return all VMs."""
+        return tuple(self._vms.values())
+
+    @property
+    def alike(self) -> int:
+        """Return by how many VMs like this one what all VMs share is divided."""
+        return max(self._alike, self._expected_vms)
+
+    def take(self, change: VmChange) -> None:
+        """Take an announcement, or that one has gone."""
+        if change.vm is not None:
+            self._vms[change.id] = change.vm
+        else:
+            self._vms.pop(change.id, None)
+        others = [vm.bears for name, vm in self._vms.items() if name != self._vm]
+        self._alike = count_alike(self._bears, others)
+
+    def mirrors(self) -> tuple[MirrorAddress, ...]:
+        """Return where peers' mirrors are read: of VMs that are known, and of seeds."""
+        known = {
+            (vm.host, vm.port): MirrorAddress(vm.host, vm.port, vm.data_centre == self._data_centre)
+            for vm in self._vms.values()
+        }
+        for seed in self._seeds:
+            known.setdefault((seed.host, seed.port), seed)
+        if self._peers is not None:
+            known.pop((self._peers.host, self._peers.port), None)
+        return tuple(known.values())
+
+    def watchers(self) -> tuple[MirrorAddress, ...]:
+        """Return whose mirrors this VM follows; none where it follows the store itself.
+
+        The first watcher follows the store, the others the first, and all other VMs any of them.
+        """
+        near = {name: vm for name, vm in self._vms.items() if vm.data_centre == self._data_centre}
+        bears = {name: vm.bears for name, vm in near.items()}
+        first = watchers_of({**bears, self._vm: self._bears}, data_centre=self._data_centre)
+        if self._vm in first:
+            first = first[:1] if self._vm != first[0] else ()
+        return tuple(MirrorAddress(near[n].host, near[n].port, True) for n in first)
+
+    def others_here(self) -> Mapping[str, VmEntry]:
+        """Return the other VMs of this one's data centre."""
+        return {
+            name: vm
+            for name, vm in self._vms.items()
+            if vm.data_centre == self._data_centre and name != self._vm
+        }
--- a/tests/forwarding/test_watchers.py
+++ b/tests/forwarding/test_watchers.py
@@ -166,7 +166,7 @@
                 stack=stack,
             )
         async with asyncio.timeout(20):
-            while not all(len(f._vms) == VMS for f in forwarders.values()):  # noqa: ASYNC110
+            while not all(len(f.vms) == VMS for f in forwarders.values()):  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
         # Watches of the start that still wait are answered once more.
         shared.put("table", b"")
@@ -177,13 +177,13 @@
 def watchers(forwarders: dict[str, Forwarder]) -> tuple[str, str]:
     """Return the VM that follows the store, and the one that follows it for the others."""
     by_port = {f._options.peers: name for name, f in forwarders.items()}
-    (first,) = (name for name, forwarder in forwarders.items() if not forwarder._watchers())
-    (second,) = (name for name, f in forwarders.items() if len(f._watchers()) == 1)
+    (first,) = (name for name, forwarder in forwarders.items() if not forwarder.vms.watchers())
+    (second,) = (name for name, f in forwarders.items() if len(f.vms.watchers()) == 1)
     followed = {
         by_port[MirrorAddress(a.host, a.port)]
         for name, f in forwarders.items()
         if name not in (first, second)
-        for a in f._watchers()
+        for a in f.vms.watchers()
     }
     assert followed == {first, second}
     return first, second
