Take lists of mirrors up to 16 MB

Cause: found while the cost of following a mirror was measured at 5,200 replicas: their list is 1.4 MB, the bound of an answer one, and the follower took the mirror for broken. A configuration near the store's megabyte does the same with a few hundred replicas. Ruled out: pages (the mirror is in the same data centre, and lists are rare). Figures: list of 5,200 entries refused before, read now; the test fails before.

--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -34,7 +34,7 @@
     WatchResult,
 )
 from berylspindle_wire.client import HttpClient
-from berylspindle_wire.http import HttpRequest, HttpResponse
+from berylspindle_wire.http import HttpLimits, HttpRequest, HttpResponse
 from berylspindle_wire.http_client import HttpFailure
 
 T = TypeVar("T")
@@ -46,6 +46,9 @@
 MOST_CHANGES: Final = 4000
 """Changes that a mirror keeps; who lags further lists anew."""
 
+MOST_BYTES: Final = 16 * 1024 * 1024
+"""Longest answer of a mirror that is taken. 5,200 replicas are 1.4 MB, a configuration up to one."""
+
 MOST_WAIT_S: Final = 5.0
 CALL_S: Final = 1.0
 WATCH_SLACK_S: Final = 0.6
@@ -205,7 +208,8 @@
     """
 
     def __init__(self, host: str, port: int) -> None:
-        self._client: Final = HttpClient(host, port, limit=2, connect_timeout=0.5)
+        limits = HttpLimits(body_bytes=MOST_BYTES)
+        self._client: Final = HttpClient(host, port, limit=2, connect_timeout=0.5, limits=limits)
         self.behind_ms = 0
         self.settling_ms = 0
         self.cut_off = False
--- a/tests/forwarding/test_mirror.py
+++ b/tests/forwarding/test_mirror.py
@@ -60,6 +60,21 @@
         assert len(told.entries) == MOST_CHANGES - 1
 
 
+async def test_a_mirror_of_five_thousand_replicas_is_listed_and_watched() -> None:
+    """A VM that starts in a large fleet takes the lists of all its peers for broken.
+
+    They are longer than the megabyte that is the usual bound of an answer, so that it falls back
+    on the store, as all other VMs do, or knows nothing while the store is away.
+    """
+    async with followed() as (mirror, store):
+        known = [entry(f"replicas/i-{n:010}", n + 1, b"x" * 230) for n in range(5200)]
+        mirror.set_listed([*known, entry("table", 6000, b"x" * 1_000_000)], 6000)
+        assert len((await store.list("")).entries) == 5201
+        mirror.add([entry("table", 6001, b"y" * 1_000_000)], 6001)
+        told = await store.watch("", after=6000, wait=1)
+        assert [len(changed.value or b"") for changed in told.entries] == [1_000_000]
+
+
 async def test_a_mirror_says_that_it_is_not_in_step_itself() -> None:
     async with followed() as (mirror, store):
         mirror.set_listed([], 1)
