--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -47,7 +47,7 @@
 """Changes that a mirror keeps; who lags further lists anew."""
 
 MOST_BYTES: Final = 16 * 1024 * 1024
-"""Longest answer of a mirror that is taken. 5,200 replicas are 1.4 MB, a configuration up to one."""
+"""Longest answer of a mirror that is taken: 5,200 replicas are 1.4 MB, a configuration up to 1."""
 
 MOST_WAIT_S: Final = 5.0
 CALL_S: Final = 1.0
