Keep a cancelled attempt's slot until the server has closed, and end the memory store's watches

A paused owner's server saw more at once than its slots: a cancelled call closed its socket and freed the slot in the same turn, and the next call could reach the server before the close did. Ruled out: timers that fire before replies after a pause (the loop reads sockets first).

The ownership machine that hung: asyncio.wait_for (3.11) swallows a cancellation that arrives as the awaited event is set, so a killed VM's watch of the store in memory ran on for ever. The test of the watch fails before and passes after; the product has no such wait in a loop.

--- a/libs/dataplane/berylspindle_dataplane/http_backend.py
+++ b/libs/dataplane/berylspindle_dataplane/http_backend.py
@@ -66,6 +66,8 @@
         progress_timeout: seconds without a byte of the reply after which a reused connection is
             held to be silent.
         report_timeout: seconds to wait for the server's own report.
+        cancel_wait: seconds for which a cancelled call waits at most until the server has closed
+            its side. A server that is told of the next call first has both at work at once.
         spare: connections kept ready beyond those in use.
     """
 
@@ -73,6 +75,7 @@
     idle_probe_after: float = 10.0
     progress_timeout: float = 1.0
     report_timeout: float = 0.5
+    cancel_wait: float = 0.25
     spare: int = 1
 
 
@@ -114,13 +117,18 @@
             return await self._pool.request(request, timeout=timeout, progress_timeout=None)
         patience = max(timeout * SILENT_SHARE, SILENT_FLOOR_SECONDS)
         patience = min(patience, self._options.progress_timeout)
+        wait = self._options.cancel_wait
         try:
-            return await self._pool.request(request, timeout=timeout, progress_timeout=patience)
+            return await self._pool.request(
+                request, timeout=timeout, progress_timeout=patience, cancel_wait=wait
+            )
         except HttpFailure as failure:
             if not failure.silent or timeout <= 2 * patience:
                 raise
         left = timeout - patience
-        return await self._pool.request(request, timeout=left, progress_timeout=None)
+        return await self._pool.request(
+            request, timeout=left, progress_timeout=None, cancel_wait=wait
+        )
 
     async def report(self) -> BackendReport | None:
         """Return the server's own report of its health, or None where it gave none in time."""
--- a/libs/dataplane/berylspindle_dataplane/server_worker.py
+++ b/libs/dataplane/berylspindle_dataplane/server_worker.py
@@ -144,7 +144,8 @@
     def cancel(self, attempt_id: str) -> bool:
         """Drop an attempt that nobody waits for; False where it isn't here.
 
-        At a warm server the running call is cancelled, which frees its slot. A cold one is let
+        At a warm server the running call is cancelled, which frees its slot as soon as the server
+        has ended the call. A cold one is let
         finish: the server notices a closed connection late, and a slot counted as free too early
         would send a cold server one more request than it bears. One that may not be repeated is
         let finish as well: cut off, its outcome could never be known.
@@ -152,6 +153,8 @@
         queued = self._by_id.get(attempt_id)
         if queued is None:
             return False
+        if queued.abandoned:
+            return True
         queued.abandoned = True
         if queued.task is None:
             self._queue.remove(queued)
--- a/libs/wire/berylspindle_wire/http_client.py
+++ b/libs/wire/berylspindle_wire/http_client.py
@@ -77,6 +77,7 @@
         self._body_bytes = 0
         self._progress = 0
         self._lost = False
+        self._closed: Final[asyncio.Future[None]] = self._loop.create_future()
         self._last_success = self._loop.time()
         self._requests = 0
 
@@ -100,13 +101,19 @@
         return has_ended(self._transport.get_extra_info("socket"))
 
     async def request(
-        self, request: HttpRequest, *, timeout: float, progress_timeout: float | None = None
+        self,
+        request: HttpRequest,
+        *,
+        timeout: float,
+        progress_timeout: float | None = None,
+        cancel_wait: float = 0.0,
     ) -> HttpResponse:
         """Send one request and return the whole reply.
 
-        Both times are in seconds; `progress_timeout` bounds the wait for the next byte of the
+        All times are in seconds; `progress_timeout` bounds the wait for the next byte of the
         reply. Raises HttpFailure. Cancelling this closes the socket, which is how work is
-        cancelled at a backend server.
+        cancelled at a backend server; with `cancel_wait` it waits as long at most until the peer
+        has closed its side, and so has ended the work.
         """
         if not self.is_reusable:
             raise HttpFailure(FailurePhase.NOT_SENT, "the connection is closed")
@@ -124,6 +131,10 @@
         self._transport.write(data)
         try:
             return await reply
+        except asyncio.CancelledError:
+            if cancel_wait > 0.0:
+                await self._half_close(cancel_wait)
+            raise
         finally:
             for timer in timers:
                 timer.cancel()
@@ -165,8 +176,16 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the reply that is outstanding."""
         self._lost = True
+        self._closed.set_result(None)
         self._fail(FailurePhase.SENT, "the connection was reset" if exc else "it was closed")
 
+    async def _half_close(self, wait: float) -> None:
+        """Close this side, and wait at most `wait` seconds until the peer has closed its own."""
+        if not self._transport.can_write_eof() or self._transport.is_closing():
+            return
+        self._transport.write_eof()
+        await asyncio.wait([self._closed], timeout=wait)
+
     def _encode(self, request: HttpRequest) -> bytes:
         target = quote(request.path, safe=_PATH_SAFE)
         if request.query:
--- a/libs/wire/berylspindle_wire/http_pool.py
+++ b/libs/wire/berylspindle_wire/http_pool.py
@@ -101,12 +101,18 @@
         return len(self._idle)
 
     async def request(
-        self, request: HttpRequest, *, timeout: float, progress_timeout: float | None = None
+        self,
+        request: HttpRequest,
+        *,
+        timeout: float,
+        progress_timeout: float | None = None,
+        cancel_wait: float = 0.0,
     ) -> HttpResponse:
         """Send one request and return the reply; retry nothing.
 
         `progress_timeout` applies to a reused connection only: on a new one, silence is the
-        backend server's own. Raises HttpFailure; it is for the caller to decide on a retry.
+        backend server's own. `cancel_wait` is that of `HttpConnection.request`. Raises
+        HttpFailure; it is for the caller to decide on a retry.
         """
         deadline = self._loop.time() + timeout
         connection = await self._take(timeout)
@@ -117,6 +123,7 @@
                 request,
                 timeout=max(0.0, deadline - self._loop.time()),
                 progress_timeout=progress_timeout if reused else None,
+                cancel_wait=cancel_wait,
             )
         except HttpFailure as failure:
             if failure.silent:
--- a/tests/controlplane/conftest.py
+++ b/tests/controlplane/conftest.py
@@ -127,8 +127,10 @@
         until = _now() + wait
         while not (found := state.changes(prefix, after)) and _now() < until:
             # Short steps, so that a watch ends soon after the store went away.
+            # Not wait_for, which swallows a cancellation that comes as the event is set.
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._store.changed.wait(), 0.3)
+                async with asyncio.timeout(0.3):
+                    await self._store.changed.wait()
             self._check()
         await self.running.wait()
         return WatchResult(
--- /dev/null
+++ b/tests/dataplane/test_cancelled_slots.py
@@ -0,0 +1,89 @@
+"""Cancelled attempts and the slots of a backend server, over sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import threading
+from collections.abc import Iterator
+
+from berylspindle_dataplane.http_backend import BackendOptions, open_http_backend
+from berylspindle_dataplane.server_worker import ServerWorker
+from berylspindle_dataplane.worker_tools import Queued, WorkerTools
+from berylspindle_decisions.concurrency import Trust
+from berylspindle_decisions.deadlines import Deadlines
+from berylspindle_decisions.fair_queue import FairQueueOptions
+from berylspindle_decisions.ownership import DispatchRights, RightLevel
+from berylspindle_model.configuration import Server
+from berylspindle_model.messages import Attempt, AttemptReply
+from berylspindle_standins.backend_faults import BackendOptions as StandinOptions
+from berylspindle_standins.backend_standin import start_backends
+from berylspindle_standins.deployments import small
+from berylspindle_telemetry.metrics import Metrics
+from berylspindle_telemetry.timeline import Timeline
+
+ROUNDS = 40
+
+
+class HeldRight(DispatchRights):
+    def level(self, server_id: str, now: float) -> RightLevel:
+        return RightLevel.HELD
+
+    def usable_from(self, server_id: str) -> float:
+        return 0.0
+
+
+def worker_of(server: Server) -> ServerWorker:
+    tools = WorkerTools(
+        rights=HeldRight(),
+        metrics=Metrics(),
+        timeline=Timeline("vm"),
+        now=asyncio.get_running_loop().time,
+        deadlines=Deadlines(),
+        queue=FairQueueOptions(max_entries=64),
+    )
+    backend = open_http_backend(server, BackendOptions(spare=server.slots + 1), lambda event: None)
+    return ServerWorker(server, backend, tools, Trust(cap=server.slots, shown_ms=4.0))
+
+
+@contextlib.contextmanager
+def loop_in_a_thread() -> Iterator[asyncio.AbstractEventLoop]:
+    """Yield a loop that runs beside the test's, as another process would."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever, daemon=True)
+    thread.start()
+    yield loop
+    loop.call_soon_threadsafe(loop.stop)
+    thread.join()
+    loop.close()
+
+
+async def keep_cancelling(server: Server) -> None:
+    worker = worker_of(server)
+    replies: list[AttemptReply] = []
+    now = asyncio.get_running_loop().time()
+    for number in range(ROUNDS):
+        names = [f"{number}-{copy}" for copy in range(server.slots)]
+        for name in names:
+            attempt = Attempt(
+                id=name, request_id=name, server=server.id, service="lots", shard="0", limit=3
+            )
+            worker.submit(Queued(attempt, "c", now + 60.0, replies.append, now, "", False))
+        await asyncio.sleep(0.004)
+        for name in names:
+            worker.cancel(name)
+    await worker.close()
+
+
+def test_a_cancelled_attempt_keeps_its_slot_until_the_server_has_ended_it() -> None:
+    """Guards against a server with more work at once than its slots after hedges were cancelled."""
+    options = StandinOptions(mean_ms=20.0, sigma=0.0)
+    with loop_in_a_thread() as loop:
+        starting = asyncio.run_coroutine_threadsafe(start_backends(small(), options=options), loop)
+        standin = starting.result(timeout=10)
+        server = standin.configuration.servers[0]
+        asyncio.run(keep_cancelling(server))
+        counts = standin.counts()[server.id]
+        asyncio.run_coroutine_threadsafe(standin.close(), loop).result(timeout=10)
+    assert counts.cancelled >= ROUNDS
+    assert counts.max_in_flight <= server.slots
