--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -45,6 +45,14 @@
 when all replicas announce themselves."""
 
 SETTLE_S: Final = 2.5
+VM_SETTLE_S: Final = 13.0
+"""Seconds after an outage of the store in which entries of replicas, and of VMs, that have gone are
+kept. A VM whose lease has lapsed writes its entry again at its next renewal."""
+
+START_COLLECT_S: Final = 1.0
+"""Seconds, more or less by half, between the first list and a second one where all VMs start for the
+first time. Each would else watch the store to see the others come."""
+
 RETRY_FIRST_S: Final = 0.2
 RETRY_MOST_S: Final = 0.8
 """Longest pause, more or less by half, before the next try. A VM that was cut off from all others
@@ -123,6 +131,10 @@
     def parts(self) -> tuple[str, ...]:
         """Return the prefixes to list at the start; together they hold all that matters."""
 
+    @abc.abstractmethod
+    def is_vm(self, key: str) -> bool:
+        """Return whether a key is that of a VM's entry."""
+
     @abc.abstractmethod
     def read(self, entry: StoredValue) -> Change | None:
         """Return what an entry means, or None for one that is no matter of the catalogue's."""
@@ -158,6 +170,7 @@
         listener: CatalogueListener,
         mirror: Mirror,
         *,
+        first_start: bool = False,
         is_used: Callable[[], bool],
         now: Callable[[], float],
         u: Callable[[], float],
@@ -166,12 +179,14 @@
         self._reader: Final = reader
         self._listener: Final = listener
         self._mirror: Final = mirror
+        self._first_start: Final = first_start
         self._is_used: Final = is_used
         self._now: Final = now
         self._u: Final = u
         self._known: dict[str, int] = {}
         self._going: dict[str, StoredValue] = {}
         self._settled_at = 0.0
+        self._vms_settled_at = 0.0
         self._watching: asyncio.Timeout | None = None
 
     def doubt(self) -> None:
@@ -181,7 +196,7 @@
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
-        after: int | None = None
+        after = await self._start()
         pause = RETRY_FIRST_S
         while True:
             followed = self._choice.pick()
@@ -199,16 +214,33 @@
             if not followed.is_mirror:
                 await asyncio.sleep(COLLECT_S if self._is_used() else COLLECT_UNUSED_S)
 
+    async def _start(self) -> int | None:
+        """Return the revision of a first, cached list of the store, or None where there is none.
+
+        What it lacks is found by the first watch after it.
+        """
+        try:
+            after = await self._list(self._choice.pick(), cached=True)
+            if self._first_start and not self._choice.has_watchers:
+                await asyncio.sleep(START_COLLECT_S * (0.5 + self._u()))
+                after = await self._list(self._choice.pick(), cached=True)
+        except (StoreAway, StoreUnsure):
+            return None
+        return after
+
     async def _step(self, followed: Followed, after: int | None) -> int:
         if after is None:
             return await self._list(followed)
         return await self._watch(followed, after)
 
-    async def _list(self, followed: Followed) -> int:
+    async def _list(self, followed: Followed, *, cached: bool = False) -> int:
         revision: int | None = None
         found: dict[str, StoredValue] = {}
         for part in self._reader.parts:
-            listed = await followed.store.list(part)
+            if cached:
+                listed = await followed.store.list_cached(part)
+            else:
+                listed = await followed.store.list(part)
             # What changes between two lists is found by the watch after the first one.
             revision = listed.revision if revision is None else min(revision, listed.revision)
             found.update((entry.key, entry) for entry in listed.entries)
@@ -225,7 +257,8 @@
     async def _watch(self, followed: Followed, after: int) -> int:
         wait = WATCH_S if followed.wait is None else followed.wait
         if self._going:
-            wait = min(wait, max(0.05, self._settled_at - self._now()))
+            settled_at = min(map(self._settles_at, self._going))
+            wait = min(wait, max(0.05, settled_at - self._now()))
         result = await self._watched(followed, after, wait)
         await self._reached(followed)
         if result.compacted:
@@ -256,6 +289,9 @@
             self._settled_at = max(self._settled_at, now + settling) if settling else 0.0
         elif self._choice.store_away:
             self._settled_at = now + SETTLE_S
+        if self._settled_at:
+            vms_settled_at = self._settled_at + VM_SETTLE_S - SETTLE_S
+            self._vms_settled_at = max(self._vms_settled_at, vms_settled_at)
         self._mirror.set_settled(self._settled_at)
         self._mirror.set_in_step(not followed.behind_ms and not followed.is_stopgap)
         if followed.is_mirror:
@@ -277,19 +313,23 @@
         self._tell(entry)
 
     def _note_gone(self, entry: StoredValue) -> None:
-        if self._now() < self._settled_at:
+        if self._now() < self._settles_at(entry.key):
             self._going[entry.key] = entry
             return
         del self._known[entry.key]
         self._tell(entry)
 
+    def _settles_at(self, key: str) -> float:
+        return self._vms_settled_at if self._reader.is_vm(key) else self._settled_at
+
     def _drop_gone(self) -> None:
-        if not self._going or self._now() < self._settled_at:
+        if not self._going:
             return
-        going, self._going = self._going, {}
-        for entry in going.values():
-            self._known.pop(entry.key, None)
-            self._tell(entry)
+        now = self._now()
+        settled = [key for key in self._going if now >= self._settles_at(key)]
+        for key in settled:
+            self._known.pop(key, None)
+            self._tell(self._going.pop(key))
 
     def _tell(self, entry: StoredValue) -> None:
         change = self._reader.read(entry)
--- a/libs/forwarding/berylspindle_forwarding/follow_choice.py
+++ b/libs/forwarding/berylspindle_forwarding/follow_choice.py
@@ -31,8 +31,10 @@
 PROBE_WAIT_S: Final = 0.05
 PASSED_OVER_S: Final = 3.0
 STORE_TRY_S: Final = 1.5
-"""Seconds, more or less by half, between two tries of the store by a VM whose watchers all lag.
-They ask the store themselves, each second; eighty VMs that do so too are a price and no help."""
+STORE_TRY_PER_VM_S: Final = 0.25
+"""Seconds, more or less by half, between two tries of the store by a VM whose watchers all lag: at
+least so many, and so many for each VM of its data centre, so that all of them together ask four
+times a second at most. The watchers ask the store themselves."""
 
 STOPGAP_WAIT_S: Final = 0.3
 """Seconds that a watch of any VM's mirror waits: it may lag itself, and others are to be tried."""
@@ -88,8 +90,13 @@
         now: Callable[[], float],
         dice: random.Random,
         watchers: Callable[[], tuple[MirrorAddress, ...]] = tuple,
+        vms_here: Callable[[], int] = lambda: 1,
     ) -> None:
-        """Take also what returns the watchers to follow, none where this VM is one itself."""
+        """Take also what returns the watchers to follow, none where this VM is one itself.
+
+        `vms_here` returns how many VMs the data centre has.
+        """
+        self._vms_here: Final = vms_here
         self._watchers: Final = watchers
         self._store_try_at = 0.0
         self._store_until = 0.0
@@ -109,6 +116,11 @@
         """Tell whether the store did not answer last."""
         return self._away
 
+    @property
+    def has_watchers(self) -> bool:
+        """Return whether this VM knows another one that it follows."""
+        return bool(self._watchers())
+
     def pick(self) -> Followed:
         """Return whom to call next."""
         if watchers := self._watchers():
@@ -161,7 +173,8 @@
             return Followed(self._store, self._store_until - now, False)
         known = [a for a in watchers if self._passed_over.get(a, now) <= now]
         if not known and now >= self._store_try_at:
-            self._store_try_at = now + STORE_TRY_S * (0.5 + self._dice.random())
+            pause = max(STORE_TRY_S, STORE_TRY_PER_VM_S * self._vms_here())
+            self._store_try_at = now + pause * (0.5 + self._dice.random())
             self._is_try = True
             return Followed(self._store, PROBE_WAIT_S, False)
         if not known and self._away and (mirror := self._mirror()) is not None:
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -63,6 +63,7 @@
         announce_key: key of this VM's entry in the store, or empty.
         callers_port: where this VM takes requests of others, or 0.
         bears: what this VM can work on (`decisions.relay_choice`).
+        first_start: whether all VMs of the system start now, for the first time.
         expected_vms: VMs that share budgets and connections while fewer are known.
         extra: the bound on hedges and retries of all VMs together.
         cold: the bound on requests to a cold replica.
@@ -76,6 +77,7 @@
     announce_key: str = ""
     callers_port: int = 0
     bears: float = 1.0
+    first_start: bool = False
     expected_vms: int = 8
     dialect: Dialect = attrs.field(factory=Dialect)
     extra: ExtraBounds = attrs.field(factory=ExtraBounds)
@@ -103,7 +105,7 @@
             expected_vms=options.expected_vms,
         )
         self._out: set[str] = set()
-        self._listed = False
+        self._listed: Final = asyncio.Event()
         self._shutting_down = False
         self._store_reached: bool | None = None
         self.table_version = 0
@@ -142,19 +144,19 @@
             now=loop.time,
             dice=random.Random(),
             watchers=self.vms.watchers,
+            vms_here=lambda: 1 + len(self.vms.others_here()),
         )
         self._catalogue: Final = Catalogue(
             self._choice,
             reader,
             self,
             self.mirror,
+            first_start=options.first_start,
             is_used=self._is_used,
             now=loop.time,
             u=random.random,
         )
-        self._announcer: Final = _announcer(
-            options, store, self._on_announce_failed, lambda: not self.vms.watchers()
-        )
+        self._announcer: Final = self._make_announcer(store)
         if off := switched_off(options.policy):
             self._log.warning("decisions switched off", extra={"switches": ", ".join(off)})
         metrics.gauge_function(names.REPLICAS_KNOWN, lambda: len(self.book))
@@ -168,7 +170,7 @@
         """Return why callers should not come here, or None where they may."""
         if self._shutting_down:
             return Refusal(ErrorKind.SHUTTING_DOWN)
-        if not self._listed or self.table_version == 0:
+        if not self._listed.is_set() or self.table_version == 0:
             return Refusal(ErrorKind.NOT_READY)
         if self._outside.is_cut_off:
             return Refusal(ErrorKind.NO_REPLICA, "cut off from the other data centres")
@@ -212,7 +214,7 @@
 
     def on_listed(self) -> None:
         """Take that all that there is has been told."""
-        self._listed = True
+        self._listed.set()
 
     def on_told_cut_off(self, cut_off: bool, source: object) -> None:
         """Take whether the VM that this one follows is cut off."""
@@ -279,6 +281,27 @@
             extra={"id": change.id, "vms": len(self.vms)},
         )
 
+    def _make_announcer(self, store: Store) -> VmAnnouncer | None:
+        options = self._options
+        if not options.announce_key or options.peers is None:
+            return None
+        entry = VmEntry(
+            host=options.peers.host,
+            port=options.peers.port,
+            data_centre=options.data_centre,
+            callers_port=options.callers_port,
+            bears=options.bears,
+        )
+        return VmAnnouncer(
+            store,
+            key=options.announce_key,
+            value=codec.to_json(entry),
+            known=lambda: self.mirror.entry(options.announce_key),
+            listed=self._listed,
+            on_failure=self._on_announce_failed,
+            is_watcher=lambda: not self.vms.watchers(),
+        )
+
     def _may_begin(self) -> bool:
         """Tell whether this VM takes work of other VMs."""
         return not self._shutting_down
@@ -328,30 +351,6 @@
     )
 
 
-def _announcer(
-    options: ForwardOptions,
-    store: Store,
-    on_failure: Callable[[str], None],
-    is_watcher: Callable[[], bool],
-) -> VmAnnouncer | None:
-    if not options.announce_key or options.peers is None:
-        return None
-    entry = VmEntry(
-        host=options.peers.host,
-        port=options.peers.port,
-        data_centre=options.data_centre,
-        callers_port=options.callers_port,
-        bears=options.bears,
-    )
-    return VmAnnouncer(
-        store,
-        key=options.announce_key,
-        value=codec.to_json(entry),
-        on_failure=on_failure,
-        is_watcher=is_watcher,
-    )
-
-
 async def open_forwarder(
     options: ForwardOptions,
     *,
--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -105,6 +105,10 @@
         """Return the store's revision up to which all is known; 0 before anything is."""
         return self._revision
 
+    def entry(self, key: str) -> StoredValue | None:
+        """Return an entry as this VM knows it."""
+        return self._entries.get(key)
+
     def set_listed(self, entries: Iterable[StoredValue], revision: int) -> None:
         """Take all that there is as of a revision."""
         if revision < self._revision:
--- a/libs/store/berylspindle_store/store.py
+++ b/libs/store/berylspindle_store/store.py
@@ -51,11 +51,18 @@
 
 @attrs.frozen(kw_only=True)
 class StoredValue:
-    """One entry. `value` is None where the entry was deleted at this revision."""
+    """One entry.
+
+    Attributes:
+        value: None where the entry was deleted at this revision.
+        lease: the lease that the entry is bound to; empty where it is bound to none or the store
+            does not say.
+    """
 
     key: str
     value: bytes | None
     revision: int
+    lease: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -101,6 +108,13 @@
     async def list(self, prefix: str) -> ListResult:
         """Return all entries whose keys start with `prefix`, by key. May lag."""
 
+    async def list_cached(self, prefix: str) -> ListResult:
+        """Return all entries as they were a while ago, where that costs the store less.
+
+        Whoever watches after the result's revision misses no change since.
+        """
+        return await self.list(prefix)
+
     @abstractmethod
     async def compare_and_swap(
         self, key: str, value: bytes | None, *, expect: int, lease: str | None = None
--- a/tests/forwarding/test_silent_store.py
+++ b/tests/forwarding/test_silent_store.py
@@ -25,6 +25,9 @@
     prefix = ""
     parts = ("",)
 
+    def is_vm(self, key: str) -> bool:
+        return key.startswith("vms/")
+
     def read(self, entry: StoredValue) -> Change:
         return TableChange(RoutingTable(entry.revision, (plain_route(),), {}, CallerLimits()))
 
--- a/tests/forwarding/test_watchers.py
+++ b/tests/forwarding/test_watchers.py
@@ -43,6 +43,9 @@
     prefix = ""
     parts = ("",)
 
+    def is_vm(self, key: str) -> bool:
+        return key.startswith("vms/")
+
     def read(self, entry: StoredValue) -> Change:
         kind, _, name = entry.key.partition("/")
         if kind == "table":
