Let a search be merged in another data centre, and notice a merger that fell silent

A merger that is late is probed now, and its caller told at once where it does not answer, with time to try again; before, the caller waited until its deadline.

--- a/libs/decisions/berylspindle_decisions/relay_choice.py
+++ b/libs/decisions/berylspindle_decisions/relay_choice.py
@@ -1,22 +1,28 @@
-"""Whether a small VM passes a request over many shards to a bigger one of its data centre.
+"""Whether a VM passes a request over many shards to a bigger one, or to one near the replicas.
 
 Pattern of load: a balancer that spreads callers evenly over VMs of half a core with 20 Mbit/s and
 of two cores with 200. A request over 36 shards takes 20 ms of a core and brings 40 KB of parts, of
 which a kilobyte goes to the caller. On a small VM its parts queue on the VM's own link and
-processor, its hedges are sent for delays of the VM's own making, and half of its time is gone.
+processor, its hedges are sent for delays of the VM's own making, and half of its time is gone. A
+data centre without replicas of the shards gets each part over the links between data centres: 42
+requests and parts for one answer of a kilobyte.
 
 Terms:
   bears     what a VM can work on, in cores; less where its link is what binds it
   merger    the bigger VM that carries a request out and merges its parts
+  missing   share of a request's shards that have no usable replica in a VM's data centre
   load      requests that a merger has under way, as it said last, and those sent since
   doubted   a merger that failed, refused or was slow, until a time
 
 Flow: `pick` is asked for each request over shards; `sent`, `answered` and `failed` follow it. The
-request goes where the work under way over what the VM bears is least; the own VM counts like any.
+request goes where the work under way over what the VM bears is least, and `FAR_COST` for what is
+missing; the own VM counts like any.
 
 Thresholds: only a VM that bears `BIGGER` times as much is asked, since the hop costs about a
-millisecond on both. A merger that failed is left alone for `DOUBT_LONG`, as long as a process takes
-to start and load; one that refused, or is late by the route's whole aim, for `DOUBT_SHORT`.
+millisecond on both, or one that bears as much where less is missing by `NEARER`: what came from
+there part by part comes as one answer. A merger that failed is left alone for `DOUBT_LONG`, as long
+as a process takes to start and load; one that refused, or is late by the route's whole aim, for
+`DOUBT_SHORT`.
 """
 
 from __future__ import annotations
@@ -29,6 +35,11 @@
 BIGGER: Final = 2.0
 DOUBT_LONG: Final = 3.0
 DOUBT_SHORT: Final = 1.0
+NEARER: Final = 0.5
+FAR_COST: Final = 8.0
+"""Requests under way for each core by which a merger near the replicas may be busier than this VM;
+a request takes a merger some 20 ms of a core."""
+
 LOAD_FRESH: Final = 0.5
 """Seconds for which a merger's word of its load counts; its requests take some tenths of them."""
 
@@ -38,10 +49,11 @@
 
 @attrs.frozen
 class RelayVm:
-    """Another VM of the data centre."""
+    """Another VM; `missing` is 0 where its data centre has a replica of each shard."""
 
     name: str
     bears: float
+    missing: float = 0.0
 
 
 @attrs.define
@@ -57,6 +69,16 @@
     return max(0.01, min(cores, link_mbps / MBPS_PER_CORE))
 
 
+def least_merger(bears: Iterable[float]) -> float:
+    """Return what a VM must bear to merge the requests of other data centres.
+
+    The bigger VMs do; where all are alike, any does.
+    """
+    known = list(bears)
+    least = min(known, default=0.0)
+    return BIGGER * least if max(known, default=0.0) >= BIGGER * least else least
+
+
 def count_alike(own: float, others: Iterable[float]) -> int:
     """Return by how many VMs like this one what all VMs share is to be divided.
 
@@ -80,21 +102,31 @@
         self._bears: Final = bears
         self._mergers: dict[str, _Merger] = {}
 
-    def pick(self, now: float, vms: Iterable[RelayVm], *, in_flight: int, u: float) -> str | None:
+    def pick(
+        self,
+        now: float,
+        vms: Iterable[RelayVm],
+        *,
+        in_flight: int,
+        u: float,
+        missing: float = 0.0,
+    ) -> str | None:
         """Return the merger for a request, or None where this VM carries it out itself.
 
-        `in_flight` is what this VM works on, with the request; `u` in [0, 1) spreads VMs that
-        know the same.
+        `in_flight` is what this VM works on, with the request, and `missing` what its own data
+        centre lacks; `u` in [0, 1) spreads VMs that know the same.
         """
-        best, best_cost = None, in_flight / self._bears
+        best, best_cost = None, in_flight / self._bears + FAR_COST * missing
         for vm in vms:
-            if vm.bears < BIGGER * self._bears:
+            is_nearer = vm.missing <= missing - NEARER
+            if vm.bears < self._bears * (1.0 if is_nearer else BIGGER):
                 continue
             merger = self._mergers.get(vm.name) or _Merger()
             if now < merger.doubted_until:
                 continue
             load = merger.load if now - merger.load_at < LOAD_FRESH else 0.0
             cost = (max(load, merger.outstanding) + 1.0 + 0.2 * u) / vm.bears
+            cost += FAR_COST * vm.missing
             if cost < best_cost:
                 best, best_cost = vm.name, cost
         return best
--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -50,8 +50,8 @@
 kept. A VM whose lease has lapsed writes its entry again at its next renewal."""
 
 START_COLLECT_S: Final = 1.0
-"""Seconds, more or less by half, between the first list and a second one where all VMs start for the
-first time. Each would else watch the store to see the others come."""
+"""Seconds, more or less by half, between the first list and a second one where all VMs start for
+the first time. Each would else watch the store to see the others come."""
 
 RETRY_FIRST_S: Final = 0.2
 RETRY_MOST_S: Final = 0.8
@@ -179,7 +179,7 @@
         self._reader: Final = reader
         self._listener: Final = listener
         self._mirror: Final = mirror
-        self._first_start: Final = first_start
+        self._cached_lists = 2 if first_start else 1
         self._is_used: Final = is_used
         self._now: Final = now
         self._u: Final = u
@@ -196,7 +196,7 @@
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
-        after = await self._start()
+        after: int | None = None
         pause = RETRY_FIRST_S
         while True:
             followed = self._choice.pick()
@@ -211,27 +211,21 @@
                 pause = min(RETRY_MOST_S, 2 * pause)
                 continue
             pause = RETRY_FIRST_S
-            if not followed.is_mirror:
-                await asyncio.sleep(COLLECT_S if self._is_used() else COLLECT_UNUSED_S)
-
-    async def _start(self) -> int | None:
-        """Return the revision of a first, cached list of the store, or None where there is none.
-
-        What it lacks is found by the first watch after it.
-        """
-        try:
-            after = await self._list(self._choice.pick(), cached=True)
-            if self._first_start and not self._choice.has_watchers:
+            if followed.is_mirror:
+                continue
+            if self._cached_lists and not self._choice.has_watchers:
+                after = None
                 await asyncio.sleep(START_COLLECT_S * (0.5 + self._u()))
-                after = await self._list(self._choice.pick(), cached=True)
-        except (StoreAway, StoreUnsure):
-            return None
-        return after
+            else:
+                await asyncio.sleep(COLLECT_S if self._is_used() else COLLECT_UNUSED_S)
 
     async def _step(self, followed: Followed, after: int | None) -> int:
-        if after is None:
-            return await self._list(followed)
-        return await self._watch(followed, after)
+        if after is not None:
+            return await self._watch(followed, after)
+        # The first watch finds what a cached list lacks.
+        revision = await self._list(followed, cached=self._cached_lists > 0)
+        self._cached_lists = max(0, self._cached_lists - 1)
+        return revision
 
     async def _list(self, followed: Followed, *, cached: bool = False) -> int:
         revision: int | None = None
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -126,7 +126,7 @@
             policy=options.policy,
             gate=OverloadGate(options.policy),
         )
-        self._relay: Final = _relay(options, self.vms, metrics)
+        self._relay: Final = _relay(options, self.vms, self.book, self._reach, metrics)
         self.front: Final = Front(self._tools, self._relay, self._may_begin)
         self._outside: Final = Outside(
             self._reach,
@@ -339,10 +339,15 @@
     )
 
 
-def _relay(options: ForwardOptions, vms: VmBook, metrics: Metrics) -> Relay:
+def _relay(
+    options: ForwardOptions, vms: VmBook, book: ReplicaBook, reach: Reach, metrics: Metrics
+) -> Relay:
     return Relay(
         bears=options.bears,
-        vms=vms.others_here,
+        data_centre=options.data_centre,
+        vms=vms.mergers,
+        missing=book.missing,
+        reach=reach,
         dialect=options.dialect,
         metrics=metrics,
         now=asyncio.get_running_loop().time,
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -159,7 +159,7 @@
         self, route: Route, forward: ForwardRequest, times: DriveTimes
     ) -> HttpResponse | None:
         """Return the answer of a bigger VM, or None where this one carries the request out."""
-        merger = self._relay.choose(self._in_flight)
+        merger = self._relay.choose(route.services, self._in_flight)
         if merger is None or self._table is None:
             return None
         relay_times = RelayTimes(
--- a/libs/forwarding/berylspindle_forwarding/outside.py
+++ b/libs/forwarding/berylspindle_forwarding/outside.py
@@ -24,11 +24,9 @@
 
 from berylspindle_decisions.reach import Reach
 from berylspindle_forwarding.catalogue import VmEntry
-from berylspindle_forwarding.mirror import WATCH_PATH
 from berylspindle_forwarding.replica_book import ReplicaBook
+from berylspindle_forwarding.vm_probe import answers
 from berylspindle_model.routing import Route, RoutingTable
-from berylspindle_wire.client import HttpClient
-from berylspindle_wire.http_client import HttpFailure
 
 LOOK_S: Final = 0.1
 SUSPECT_S: Final = 2.5
@@ -115,13 +113,8 @@
 
     async def _probe_one(self, vm: VmEntry) -> None:
         self._reach.tried(self._now(), vm.data_centre)
-        async with HttpClient(vm.host, vm.port, limit=1, connect_timeout=PROBE_S) as client:
-            try:
-                await client.get(WATCH_PATH, query={"after": "0", "wait": "0"}, timeout=PROBE_S)
-            except HttpFailure:
-                # No answer is the answer: the next look is in a quarter of a second.
-                return
-        self._reach.heard(self._now(), vm.data_centre)
+        if await answers(vm.host, vm.port, timeout=PROBE_S):
+            self._reach.heard(self._now(), vm.data_centre)
 
     def _all_at_home(self) -> bool:
         table = self._table()
--- a/libs/forwarding/berylspindle_forwarding/relay.py
+++ b/libs/forwarding/berylspindle_forwarding/relay.py
@@ -1,4 +1,4 @@
-"""Pass a request over shards to a bigger VM of the data centre, which merges its parts.
+"""Pass a request over shards to a bigger VM, or to one near the replicas, which merges its parts.
 
 Terms:
   origin   the VM that a caller is connected to
@@ -9,11 +9,14 @@
 merger takes callers, with two headers more, and returns the answer, a refusal, or None where the
 merger has surely not begun it. The merger never passes it on again.
 
+A merger that is late is probed; one that doesn't answer the probe either is lost, and the caller is
+told at once, while it still has the time to try again.
+
 Guards: a merger that routes by another table could answer by an older configuration than the
 origin's callers have seen the effect of; it says `unrun` where its table is not the origin's. A
-merger that falls silent keeps the requests it has until their time is over, which a second fan-out
-beside it would not mend: its replicas would run more than the route allows. So nothing more is sent
-to one that is late, and what was sent is waited for.
+merger that falls silent may have run the request, and a second fan-out beside it would run it on
+more replicas than the route allows. So nothing more is sent to one that is late, and a request that
+is lost with it fails.
 """
 
 from __future__ import annotations
@@ -25,7 +28,8 @@
 import attrs
 
 from berylspindle_decisions.forward_policy import ForwardPolicy
-from berylspindle_decisions.relay_choice import RelayChoice, RelayVm
+from berylspindle_decisions.reach import Reach
+from berylspindle_decisions.relay_choice import NEARER, RelayChoice, RelayVm
 from berylspindle_forwarding.catalogue import VmEntry
 from berylspindle_forwarding.dialect import HOP_HEADERS, Dialect
 from berylspindle_forwarding.replica_pool import PoolOptions, ReplicaPool, RetiredPools
@@ -36,6 +40,7 @@
     RELAY_UNRUN,
     ForwardRequest,
 )
+from berylspindle_forwarding.vm_probe import answers
 from berylspindle_model.errors import ErrorKind, Refusal
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.metrics import Metrics
@@ -53,8 +58,12 @@
 """Connections of one VM to a merger; a request over shards is under way for a tenth of a second."""
 
 HOP_MS: Final = 3.0
-"""Milliseconds kept for the answer's way back through the origin: one in the data centre's network
-and two for the origin's own work."""
+FAR_HOP_MS: Final = 5.0
+"""Milliseconds kept for the answer's way back through the origin, from a merger of its own data
+centre and of another one: one to three in the network and two for the origin's own work."""
+
+PROBE_S: Final = 0.15
+"""Seconds within which a merger that is late answers a probe; it takes some milliseconds."""
 
 _RELAY_HEADERS: Final = frozenset({RELAY_LOAD, RELAY_UNRUN})
 
@@ -94,14 +103,18 @@
 class Relay:
     """This VM's ways to bigger ones.
 
-    `vms` returns the others of its data centre, by name, and another mapping once one has changed.
+    `vms` returns those that may merge its requests, by name, and another mapping once one has
+    changed; `missing` returns by data centre the share of services that have no replica there.
     """
 
     def __init__(
         self,
         *,
         bears: float,
+        data_centre: str,
         vms: Callable[[], Mapping[str, VmEntry]],
+        missing: Callable[[tuple[str, ...]], Mapping[str, float]],
+        reach: Reach,
         dialect: Dialect,
         metrics: Metrics,
         now: Callable[[], float],
@@ -109,7 +122,10 @@
         policy: ForwardPolicy,
     ) -> None:
         self._policy: Final = policy
+        self._data_centre: Final = data_centre
         self._vms: Final = vms
+        self._missing: Final = missing
+        self._reach: Final = reach
         self._dialect: Final = dialect
         self._metrics: Final = metrics
         self._now: Final = now
@@ -118,16 +134,25 @@
         self._pools: Final[dict[tuple[str, int], ReplicaPool]] = {}
         self._retired: Final = RetiredPools()
         self._seen: Mapping[str, VmEntry] = {}
-        self._mergers: list[RelayVm] = []
+        self._probes: Final[set[asyncio.Task[None]]] = set()
 
-    def choose(self, in_flight: int) -> str | None:
+    def choose(self, shards: tuple[str, ...], in_flight: int) -> str | None:
         """Return the merger for a request over shards, or None where this VM carries it out."""
         if not self._policy.relays:
             return None
         known = self._vms()
         if known is not self._seen:
             self._follow(known)
-        return self._choice.pick(self._now(), self._mergers, in_flight=in_flight, u=self._u())
+        now, missing = self._now(), self._missing(shards)
+        own_missing = missing.get(self._data_centre, 1.0)
+        mergers = (
+            RelayVm(name, vm.bears, missing.get(vm.data_centre, 1.0))
+            for name, vm in known.items()
+            if self._is_candidate(now, vm, missing, own_missing)
+        )
+        return self._choice.pick(
+            now, mergers, in_flight=in_flight, u=self._u(), missing=own_missing
+        )
 
     async def pass_on(
         self, merger: str, forward: ForwardRequest, times: RelayTimes, *, table: int
@@ -140,8 +165,12 @@
         passed = _Passed(loop)
         pool = self._pool(vm)
         self._choice.sent(merger)
-        late = loop.call_at(times.aim, self._on_late, merger)
-        passed.connection = pool.submit(lambda: self._request(forward, times, table), passed)
+        self._reach.tried(self._now(), vm.data_centre)
+        late = loop.call_at(times.aim, self._on_late, merger, vm, pool, passed)
+        hop_ms = HOP_MS if vm.data_centre == self._data_centre else FAR_HOP_MS
+        passed.connection = pool.submit(
+            lambda: self._request(forward, times, table, hop_ms), passed
+        )
         over = False
         try:
             async with asyncio.timeout_at(times.answer_by):
@@ -158,23 +187,38 @@
                 pool.withdraw(passed)
                 if passed.connection is not None:
                     passed.connection.forget()
+        if isinstance(outcome, ExchangeReply):
+            self._reach.heard(self._now(), vm.data_centre)
         return self._answer(merger, forward, outcome)
 
     async def close(self) -> None:
         """Close all connections."""
+        for probe in tuple(self._probes):
+            probe.cancel()
+        await asyncio.gather(*self._probes, return_exceptions=True)
         await self._retired.close()
         await asyncio.gather(*(pool.close() for pool in self._pools.values()))
 
     def _follow(self, known: Mapping[str, VmEntry]) -> None:
         """Take who takes requests now, and let go of the connections to VMs that are gone."""
         self._seen = known
-        self._mergers = [
-            RelayVm(name, vm.bears) for name, vm in known.items() if vm.callers_port > 0
-        ]
         addresses = {(vm.host, vm.callers_port) for vm in known.values()}
         for address in self._pools.keys() - addresses:
             self._retired.retire(self._pools.pop(address))
 
+    def _is_candidate(
+        self, now: float, vm: VmEntry, missing: Mapping[str, float], own_missing: float
+    ) -> bool:
+        if vm.callers_port <= 0:
+            return False
+        if vm.data_centre == self._data_centre:
+            return True
+        return (
+            missing.get(vm.data_centre, 1.0) <= own_missing - NEARER
+            and not self._reach.is_dark(now, vm.data_centre)
+            and not self._reach.is_cut_off(now)
+        )
+
     def _answer(
         self, merger: str, forward: ForwardRequest, outcome: ExchangeReply | ExchangeEnd
     ) -> HttpResponse | Refusal | None:
@@ -197,10 +241,12 @@
         kept = tuple((n, v) for n, v in outcome.headers if n not in dropped)
         return HttpResponse(status=outcome.status, body=outcome.body, raw_headers=kept)
 
-    def _request(self, forward: ForwardRequest, times: RelayTimes, table: int) -> ExchangeRequest:
+    def _request(
+        self, forward: ForwardRequest, times: RelayTimes, table: int, hop_ms: float
+    ) -> ExchangeRequest:
         now = self._now()
-        left_ms = max(1, int((times.deadline - now) * 1000 - HOP_MS))
-        aim_ms = max(1, int((times.aim_cut - now) * 1000 - HOP_MS))
+        left_ms = max(1, int((times.deadline - now) * 1000 - hop_ms))
+        aim_ms = max(1, int((times.aim_cut - now) * 1000 - hop_ms))
         headers = (
             *forward.passed_on,
             (self._dialect.time_left, b"%d" % left_ms),
@@ -218,8 +264,24 @@
             )
         return found
 
-    def _on_late(self, merger: str) -> None:
+    def _on_late(self, merger: str, vm: VmEntry, pool: ReplicaPool, passed: _Passed) -> None:
         self._doubt(merger, "late", long=False)
+        probe = asyncio.get_running_loop().create_task(self._probe(vm, pool, passed))
+        self._probes.add(probe)
+        probe.add_done_callback(self._probes.discard)
+
+    async def _probe(self, vm: VmEntry, pool: ReplicaPool, passed: _Passed) -> None:
+        """End a request whose merger answers nothing any more."""
+        self._reach.tried(self._now(), vm.data_centre)
+        if await answers(vm.host, vm.port, timeout=PROBE_S):
+            self._reach.heard(self._now(), vm.data_centre)
+            return
+        if passed.done.done():
+            return
+        kind = EndKind.NOT_SENT if pool.withdraw(passed) else EndKind.LOST
+        if passed.connection is not None:
+            passed.connection.forget()
+        passed.on_end(ExchangeEnd(kind, "late, and no answer to a probe"))
 
     def _doubt(self, merger: str, result: str, *, long: bool) -> None:
         self._metrics.count(names.FORWARD_RELAYED, result=result)
--- a/libs/forwarding/berylspindle_forwarding/replica_book.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_book.py
@@ -18,8 +18,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
-from collections.abc import Callable, Iterable
+from collections import Counter, deque
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -96,6 +96,7 @@
         self._on_opened: Final = on_opened
         self._handles: dict[str, ReplicaHandle] = {}
         self._usable: dict[str, tuple[ReplicaHandle, ...]] = {}
+        self._missing: dict[tuple[str, ...], Mapping[str, float]] = {}
         self._out: frozenset[str] = frozenset()
         self._table: RoutingTable | None = None
         self._retired: Final = RetiredPools()
@@ -126,20 +127,20 @@
         handle.is_misplaced = False
         handle.standing.slots = max(1, replica.slots)
         handle.standing.cold_until = now + replica.cold_ms / 1000
-        self._usable.clear()
+        self._forget_choices()
 
     def remove(self, replica_id: str) -> None:
         """Forget a replica; what is under way there is finished."""
         handle = self._handles.pop(replica_id, None)
         if handle is None:
             return
-        self._usable.clear()
+        self._forget_choices()
         self._retired.retire(handle.pool)
 
     def set_out(self, data_centres: frozenset[str]) -> None:
         """Send nothing to the replicas of these data centres."""
         self._out = data_centres
-        self._usable.clear()
+        self._forget_choices()
 
     def set_table(self, table: RoutingTable) -> None:
         """Follow the services' rules."""
@@ -161,6 +162,22 @@
             )
         return found
 
+    def missing(self, services: tuple[str, ...]) -> Mapping[str, float]:
+        """Return by data centre the share of services without a usable replica there.
+
+        A data centre that is not named lacks all of them.
+        """
+        found = self._missing.get(services)
+        if found is None:
+            held = Counter(
+                data_centre
+                for service in services
+                for data_centre in {h.replica.data_centre for h in self.usable(service)}
+            )
+            found = {name: 1.0 - count / len(services) for name, count in held.items()}
+            self._missing[services] = found
+        return found
+
     def has_at_home(self, service: str) -> bool:
         """Tell whether a service has a usable replica in this VM's data centre."""
         return any(h.replica.data_centre == self._data_centre for h in self.usable(service))
@@ -195,13 +212,17 @@
     def set_misplaced(self, handle: ReplicaHandle) -> None:
         """Send nothing to a replica whose address belongs to another one now."""
         handle.is_misplaced = True
-        self._usable.clear()
+        self._forget_choices()
 
     async def close(self) -> None:
         """Close all connections."""
         await self._retired.close()
         await asyncio.gather(*(handle.pool.close() for handle in self._handles.values()))
 
+    def _forget_choices(self) -> None:
+        self._usable.clear()
+        self._missing.clear()
+
     def _open(self, replica: Replica) -> ReplicaHandle:
         standing = Standing(
             slots=replica.slots,
--- a/libs/forwarding/berylspindle_forwarding/vm_book.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_book.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from berylspindle_decisions.relay_choice import count_alike
+from berylspindle_decisions.relay_choice import count_alike, least_merger
 from berylspindle_decisions.watchers import watchers_of
 from berylspindle_forwarding.catalogue import VmChange, VmEntry
 from berylspindle_forwarding.follow_choice import MirrorAddress
@@ -37,6 +37,7 @@
         self._vms: dict[str, VmEntry] = {}
         self._others_here: Mapping[str, VmEntry] = {}
         self._alike = 1
+        self._mergers: Mapping[str, VmEntry] = {}
 
     def __len__(self) -> int:
         return len(self._vms)
@@ -64,6 +65,14 @@
             for name, vm in self._vms.items()
             if vm.data_centre == self._data_centre and name != self._vm
         }
+        least = least_merger([self._bears, *others])
+        self._mergers = {
+            name: vm
+            for name, vm in self._vms.items()
+            if name != self._vm
+            and vm.callers_port > 0
+            and (vm.data_centre == self._data_centre or vm.bears >= least)
+        }
 
     def mirrors(self) -> tuple[MirrorAddress, ...]:
         """Return where peers' mirrors are read: of VMs that are known, and of seeds."""
@@ -89,6 +98,10 @@
             first = first[:1] if self._vm != first[0] else ()
         return tuple(MirrorAddress(near[n].host, near[n].port, True) for n in first)
 
+    def mergers(self) -> Mapping[str, VmEntry]:
+        """Return the VMs that may merge this one's requests; a new mapping after each change."""
+        return self._mergers
+
     def others_here(self) -> Mapping[str, VmEntry]:
         """Return the other VMs of this one's data centre; a new mapping after each change."""
         return self._others_here
--- a/tests/decisions/test_load_relay.py
+++ b/tests/decisions/test_load_relay.py
@@ -12,6 +12,7 @@
     RelayVm,
     bears_of,
     count_alike,
+    least_merger,
 )
 
 BIG = (RelayVm("big-1", 2.15), RelayVm("big-2", 2.15))
@@ -73,6 +74,30 @@
     assert count_alike(1.0, []) == 1
 
 
+def test_a_data_centre_without_replicas_has_its_searches_merged_near_them() -> None:
+    """Guards against 42 parts over the links between data centres for one answer."""
+    near, far = RelayVm("near", 2.15), RelayVm("far", 2.15, missing=1.0)
+    for own in (0.516, 2.15):
+        choice = RelayChoice(own)
+        assert choice.pick(0.0, (near, far), in_flight=1, u=0.5, missing=1.0) == "near"
+    # One that bears less is spared, and a data centre that lacks a few shards keeps its own.
+    assert RelayChoice(2.15).pick(0.0, (SMALL,), in_flight=1, u=0.5, missing=1.0) is None
+    assert RelayChoice(2.15).pick(0.0, (near,), in_flight=1, u=0.5, missing=0.3) is None
+
+
+def test_searches_stay_in_their_data_centre_while_all_mergers_near_the_replicas_are_full() -> None:
+    """Guards against callers that wait for three VMs of one data centre while others idle."""
+    choice = RelayChoice(0.516)
+    mergers = (RelayVm("near", 2.15), RelayVm("here", 2.15, missing=1.0))
+    choice.reported(0.0, "near", 30)
+    assert choice.pick(0.1, mergers, in_flight=1, u=0.5, missing=1.0) == "here"
+
+
+def test_mergers_are_the_bigger_vms_or_all_where_none_is_bigger() -> None:
+    assert least_merger([0.516, 0.516, 2.15]) == 2 * 0.516
+    assert least_merger([1.07, 1.07]) == 1.07
+
+
 def test_a_link_can_bind_a_vm_with_cores_to_spare() -> None:
     assert bears_of(cores=2.0, link_mbps=1000.0) == 2.0
     assert bears_of(cores=2.0, link_mbps=8.0) == 0.5
--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -13,6 +13,7 @@
 from berylspindle_forwarding.catalogue import VmChange, VmEntry
 from berylspindle_standins.forward_replica import answer_body
 from berylspindle_wire.http_client import HttpFailure
+from berylspindle_wire.http_server import serve
 
 SHARDS = ("s0", "s1", "s2")
 
@@ -89,6 +90,61 @@
         assert sum(big.runs().values()) == 3
 
 
+async def test_a_vm_without_replicas_near_has_its_search_merged_elsewhere() -> None:
+    """Guards against all parts of a search that cross the links between data centres."""
+    async with pair() as (_, big), open_site(vm="far", bears=2.0, data_centre="f") as far:
+        for replica in big.replicas.values():
+            far.announce(replica)
+        entry = VmEntry(
+            host="127.0.0.1", port=1, data_centre="a", callers_port=big.server.port, bears=2.0
+        )
+        far.forwarder.on_change(VmChange("big", entry))
+        bring_into_force(far)
+        assert (await far.ask("/lots/1")).body == whole("/lots/1")
+        assert merged(far) == 0
+        far.take_out("a")
+        assert far.forwarder.book.missing(SHARDS) == {}
+
+
+async def test_a_caller_is_told_soon_that_its_merger_has_fallen_silent() -> None:
+    """Guards against callers that wait for a VM without power until they can't try again."""
+    async with pair() as (small, _):
+        silent = await asyncio.start_server(lambda r, w: asyncio.sleep(3600), "127.0.0.1", 0)
+        port = silent.sockets[0].getsockname()[1]
+        entry = VmEntry(host="127.0.0.1", port=port, data_centre="a", callers_port=port, bears=2.0)
+        small.forwarder.on_change(VmChange("big", entry))
+        small.route(merged_route(SHARDS, aim_ms=200))
+        began = asyncio.get_running_loop().time()
+        told = await small.ask("/lots/1", left_ms=4000)
+        assert told.status == 502
+        assert told.body.startswith(b"peer_lost")
+        assert asyncio.get_running_loop().time() - began < 2.0
+        silent.close()
+
+
+async def test_a_merger_that_is_late_and_answers_a_probe_is_waited_for() -> None:
+    """Guards against searches that are given up while their merger waits for a slow shard."""
+    async with pair() as (small, big):
+        mirror = await serve(big.forwarder.mirror.answer, host="127.0.0.1", port=0)
+        entry = VmEntry(
+            host="127.0.0.1",
+            port=mirror.port,
+            data_centre="a",
+            callers_port=big.server.port,
+            bears=2.0,
+        )
+        small.forwarder.on_change(VmChange("big", entry))
+        small.route(merged_route(SHARDS, aim_ms=100))
+        small.version = big.version = 5
+        for site in (small, big):
+            site.route(merged_route(SHARDS, aim_ms=100, least=0.9))
+        for replica in big.replicas.values():
+            replica.behaviour.work = 0.5
+        assert (await small.ask("/lots/1", left_ms=4000)).body == whole("/lots/1")
+        assert merged(small) == 0
+        await mirror.close(0.0)
+
+
 async def test_a_silent_merger_costs_its_requests_and_no_others() -> None:
     """All searches of a data centre wait for a VM that is suspended.
 
--- /dev/null
+++ b/tests/forwarding/test_vm_announcer.py
@@ -0,0 +1,109 @@
+"""A VM's entry in the store, through restarts, lapsed leases and entries that vanish."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from forward_site import NoStore
+
+from berylspindle_forwarding import vm_announcer
+from berylspindle_forwarding.vm_announcer import VmAnnouncer
+from berylspindle_store.store import Lease, StoreConflict, StoredValue, StoreLeaseGone
+
+KEY, VALUE = "vms/1", b"where"
+
+
+class LeaseStore(NoStore):
+    """One key and its leases."""
+
+    def __init__(self) -> None:
+        self.entry: StoredValue | None = None
+        self.leases: set[str] = set()
+        self.calls: Counter[str] = Counter()
+
+    async def grant_lease(self, ttl: float) -> Lease:
+        self.calls["grant"] += 1
+        lease = f"lease-{self.calls['grant']}"
+        self.leases.add(lease)
+        return Lease(id=lease, ttl=ttl)
+
+    async def compare_and_swap(self, key, value, *, expect, lease=None) -> StoredValue:
+        self.calls["write"] += 1
+        if expect != (self.entry.revision if self.entry is not None else 0):
+            raise StoreConflict(self.entry)
+        revision = 100 + self.calls["write"]
+        self.entry = StoredValue(key=key, value=value, revision=revision, lease=lease)
+        return self.entry
+
+    async def keep_alive(self, lease: str) -> Lease:
+        self.calls["renew"] += 1
+        if lease not in self.leases:
+            raise StoreLeaseGone(lease)
+        return Lease(id=lease, ttl=15.0)
+
+
+@asynccontextmanager
+async def announcing(store: LeaseStore) -> AsyncIterator[None]:
+    listed = asyncio.Event()
+    listed.set()
+    announcer = VmAnnouncer(
+        store,
+        key=KEY,
+        value=VALUE,
+        known=lambda: store.entry,
+        listed=listed,
+        on_failure=lambda detail: None,
+        is_watcher=lambda: False,
+    )
+    task = asyncio.create_task(announcer.run())
+    yield
+    task.cancel()
+
+
+async def test_a_restarted_vm_renews_the_lease_of_its_last_process_and_writes_nothing() -> None:
+    """Guards against four calls a VM when a data centre has its power back."""
+    store = LeaseStore()
+    store.leases.add("old")
+    store.entry = StoredValue(key=KEY, value=VALUE, revision=7, lease="old")
+    async with announcing(store):
+        await asyncio.sleep(0.05)
+    assert store.calls == {"renew": 1}
+
+
+async def test_an_entry_whose_lease_has_ended_is_replaced_under_its_revision() -> None:
+    """Guards against a VM that renews a lease that is gone, again and again, and is unknown."""
+    store = LeaseStore()
+    store.entry = StoredValue(key=KEY, value=VALUE, revision=7, lease="ended")
+    async with announcing(store):
+        await asyncio.sleep(0.05)
+    assert store.calls == {"renew": 1, "grant": 1, "write": 1}
+    assert store.entry.lease in store.leases
+
+
+async def test_an_entry_of_other_content_is_replaced() -> None:
+    """Guards against a VM that is known by the address of its last process."""
+    store = LeaseStore()
+    store.leases.add("old")
+    store.entry = StoredValue(key=KEY, value=b"elsewhere", revision=7, lease="old")
+    async with announcing(store):
+        await asyncio.sleep(0.05)
+    assert store.entry.value == VALUE
+    assert store.calls == {"grant": 1, "write": 1}
+
+
+async def test_an_entry_that_has_gone_or_has_another_lease_is_written_again(monkeypatch) -> None:
+    """Guards against a VM that keeps a lease alive to which its entry is not bound."""
+    monkeypatch.setattr(vm_announcer, "RENEW_S", 0.01)
+    store = LeaseStore()
+    async with announcing(store):
+        await asyncio.sleep(0.05)
+        for entry in (None, StoredValue(key=KEY, value=VALUE, revision=9, lease="older")):
+            store.entry = entry
+            await asyncio.sleep(0.1)
+            assert store.entry is not None
+            assert store.entry.lease == "lease-1"
+    assert store.calls["grant"] == 1
+    assert store.calls["write"] == 3
--- a/tests/platform_adapter/kv_standin.py
+++ b/tests/platform_adapter/kv_standin.py
@@ -41,6 +41,7 @@
     items: dict[str, Item] = attrs.field(factory=dict)
     history: list[tuple[int, str, bytes | None]] = attrs.field(factory=list)
     first: int = 100
+    stale_items: dict[str, Item] | None = None
     leases: dict[int, float] = attrs.field(factory=dict)
     calls: Counter[str] = attrs.field(factory=Counter)
     outage: str = ""
@@ -133,7 +134,9 @@
             item = self.items.get(query["key"])
             return (200, self._shown(query["key"], item)) if item else (404, {})
         if path == "/-/kv-range":
-            return 200, self._range(query["prefix"], query.get("after", ""))
+            items = self.stale_items if query.get("stale_ok") else None
+            items = self.items if items is None else items
+            return 200, self._range(query["prefix"], query.get("after", ""), items)
         if path == "/-/kv-watch":
             return await self._watch(query)
         if path == "/-/kv-txn":
@@ -163,9 +166,9 @@
             "current_rev": self.rev,
         }
 
-    def _range(self, prefix: str, after: str) -> dict[str, object]:
-        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-        shown = [self._shown(key, self.items[key]) for key in keys[: self.page]]
+    def _range(self, prefix: str, after: str, items: dict[str, Item]) -> dict[str, object]:
+        keys = sorted(k for k in items if k.startswith(prefix) and k > after)
+        shown = [self._shown(key, items[key]) for key in keys[: self.page]]
         return {"items": shown, "has_more": len(keys) > self.page, "current_rev": self.rev}
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, object]:
--- a/tests/platform_adapter/test_platform_store.py
+++ b/tests/platform_adapter/test_platform_store.py
@@ -56,6 +56,23 @@
         assert kv.calls["kv-range"] == 5
 
 
+async def test_a_watch_after_a_cached_list_tells_all_that_the_list_lacks():
+    """Guards against changes lost between a list that is seconds old and the watch after it."""
+    async with opened() as (kv, store):
+        kv.put("servers/a", {"n": 1})
+        kv.put("servers/b", {"n": 1})
+        kv.stale_items = dict(kv.items)
+        kv.put("servers/a", {"n": 2})
+        kv.remove("servers/b")
+        listed = await store.list_cached("servers/")
+        assert [entry.key for entry in listed.entries] == ["servers/a", "servers/b"]
+        told = await store.watch("servers/", after=listed.revision, wait=1.0)
+        assert [(entry.key, entry.value is None) for entry in told.entries] == [
+            ("servers/a", False),
+            ("servers/b", True),
+        ]
+
+
 async def test_a_watch_tells_changes_in_order_and_a_forgotten_history():
     async with opened() as (kv, store):
         kv.put("op/config", {"version": 1})
