Have the shards without a replica near merged by one VM that has them

Cause: the parts of 21 of 42 shards cross the links between data centres for each search.

Change: a VM that carries a search out has those shards merged by a bigger VM of a data centre that holds them, as one answer; where that one has surely not begun, it asks them itself.

--- a/libs/forwarding/berylspindle_forwarding/drive.py
+++ b/libs/forwarding/berylspindle_forwarding/drive.py
@@ -4,22 +4,27 @@
   race      the attempts at one service (`decisions.attempt_race`); a plain request has one race, a
             request over a shard set one a shard
   part      a shard's answer with the replica's signature
+  subset    shards whose parts one VM near their replicas merges (`relay`)
   cut       a time at which an answer goes out with what is there: at the aim, then at the deadline
 
-Flow: `run` starts all races and awaits the answer. Each attempt tells the drive how it ended; the
-drive steps that race, looks whether an answer can go out, and keeps one timer for whatever is due
-next. Attempts that are still out when the answer has gone are left to finish, for a connection that
-is closed under a request costs a new one; what they show is learned from. When the caller goes away
-they are ended, which ends their work at the replicas.
+Flow: `run` starts all races but those of the subset, whose parts come as one answer, and awaits the
+answer. Where the other VM has surely not begun, the subset's races start as well. Each attempt
+tells the drive how it ended; the drive steps that race, looks whether an answer can go out, and
+keeps one timer for whatever is due next. Attempts that are still out when the answer has gone are
+left to finish, for a connection that is closed under a request costs a new one; what they show is
+learned from. When the caller goes away they are ended, which ends their work at the replicas.
 """
 
 from __future__ import annotations
 
 import asyncio
 import math
-from typing import Final
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, Final
 
-from berylspindle_decisions.answer_time import PartsVerdict, parts_verdict
+import attrs
+
+from berylspindle_decisions.answer_time import PartsVerdict
 from berylspindle_decisions.attempt_race import (
     AttemptEnd,
     AttemptRace,
@@ -28,8 +33,8 @@
     RaceState,
     SendTo,
 )
-from berylspindle_decisions.record_merge import greatest
 from berylspindle_forwarding.attempt_guide import DriveTimes, ForwardTools, ServiceGuide
+from berylspindle_forwarding.part_collector import PartCollector
 from berylspindle_forwarding.replica_book import ReplicaHandle
 from berylspindle_forwarding.reply_check import ReplyClass, classify
 from berylspindle_forwarding.request_head import ForwardRequest, replica_request
@@ -46,11 +51,28 @@
 )
 from berylspindle_wire.http import HttpResponse
 
+HTTP_OK: Final = 200
+HTTP_REFUSED: Final = 503
+
 LINGER_S: Final = 0.3
 """Seconds past the deadline after which an attempt that nobody waits for is ended; replicas stop at
 the deadline by themselves."""
 
 
+SubsetOutcome = HttpResponse | Refusal | None
+
+
+@attrs.frozen(kw_only=True)
+class SubsetCall:
+    """Shards that another VM merges, and the call that asks it.
+
+    The call returns its answer or a refusal; None where it has surely not begun.
+    """
+
+    positions: tuple[int, ...]
+    send: Callable[[], Coroutine[Any, Any, SubsetOutcome]]
+
+
 class Attempt(ExchangeSink):
     """One attempt of a drive."""
 
@@ -90,6 +112,7 @@
         request: ForwardRequest,
         services: tuple[str, ...],
         times: DriveTimes,
+        subset: SubsetCall | None = None,
     ) -> None:
         self._tools: Final = tools
         self._route: Final = route
@@ -109,8 +132,14 @@
         ]
         self._next: Final = [times.deadline] * len(services)
         self._out: Final[set[Attempt]] = set()
-        self._parts: Final[dict[str, tuple[str, bytes]]] = {}
-        self._lost = 0
+        self._collector: Final = (
+            PartCollector(route.shard_set, tools.dialect) if route.shard_set is not None else None
+        )
+        self._subset: Final = subset
+        self._subset_task: asyncio.Task[None] | None = None
+        self._subset_refusal: Refusal | None = None
+        self._subset_may_have_run = False
+        self._is_lost = False
         self._reply: ExchangeReply | None = None
         self._failure: ExchangeReply | None = None
         self._detail = ""
@@ -147,11 +176,7 @@
             self.story.pressed = True
             return refusal
         try:
-            self._busy = True
-            for index in range(len(self._races)):
-                self._step(index)
-            self._busy = False
-            self._settle()
+            self._start()
             return await self._done
         except asyncio.CancelledError:
             self._end_attempts("the caller went away")
@@ -159,11 +184,52 @@
         finally:
             if self._timer is not None:
                 self._timer.cancel()
+            if self._subset_task is not None:
+                self._subset_task.cancel()
             self._withdraw_waiting()
             if self._out:
                 late = self._times.deadline + LINGER_S - self._tools.now()
                 self._loop.call_later(max(0.0, late), self._end_attempts, "nobody waits")
 
+    def _start(self) -> None:
+        apart = self._subset.positions if self._subset is not None else ()
+        for index in apart:
+            self._next[index] = math.inf
+        self._begin(index for index in range(len(self._races)) if index not in apart)
+        if self._subset is not None:
+            self._subset_task = self._loop.create_task(self._ask_subset(self._subset))
+
+    def _begin(self, indices: Iterable[int]) -> None:
+        """Let these races begin."""
+        self._busy = True
+        for index in indices:
+            self._tools.share(self._races[index].service).on_request(self._times.started)
+            self._step(index)
+        self._busy = False
+        self._settle()
+
+    async def _ask_subset(self, subset: SubsetCall) -> None:
+        outcome = await subset.send()
+        if self._done.done():
+            return
+        if outcome is None:
+            self._begin(subset.positions)
+            return
+        assert self._collector is not None
+        size = len(subset.positions)
+        if isinstance(outcome, Refusal):
+            self._subset_may_have_run = outcome.run_state is not RunState.NOT_RUN
+            self._detail = outcome.detail
+            self._collector.lose(size)
+        elif outcome.status == HTTP_REFUSED:
+            self._subset_refusal = _refusal_of(outcome)
+            self._collector.lose(size)
+        elif outcome.status != HTTP_OK or not self._collector.add_subset(outcome, size):
+            self._subset_may_have_run = True
+            self._detail = f"status {outcome.status} for the subset"
+            self._collector.lose(size)
+        self._settle()
+
     def on_reply(self, attempt: Attempt, reply: ExchangeReply) -> None:
         """Take a whole reply of an attempt."""
         now = self._tools.now()
@@ -180,7 +246,7 @@
         if verdict is ReplyClass.ANSWER:
             if race.state is not RaceState.WON:
                 race.answered(attempt.record)
-                self._take(race.service, reply)
+                self._take(reply)
                 self._withdraw_waiting(attempt.index)
         else:
             self._fail(now, attempt, verdict, reply)
@@ -200,12 +266,11 @@
         self._races[attempt.index].ended(now, attempt.record, known, refused=False)
         self._advance(attempt.index)
 
-    def _take(self, service: str, reply: ExchangeReply) -> None:
-        if self._route.shard_set is None:
+    def _take(self, reply: ExchangeReply) -> None:
+        if self._collector is None:
             self._reply = reply
             return
-        signature = reply.header(self._tools.dialect.signature) or ""
-        self._parts[service] = (signature, reply.body)
+        self._collector.add(reply.header(self._tools.dialect.signature) or "", reply.body)
 
     def _fail(
         self, now: float, attempt: Attempt, verdict: ReplyClass, reply: ExchangeReply
@@ -246,7 +311,9 @@
                 self._send(now, index, step)
                 continue
             if isinstance(step, GiveUp):
-                self._lost += 1
+                self._is_lost = True
+                if self._collector is not None:
+                    self._collector.lose()
                 self.story.lost(now, race.service, step.reason)
                 self._detail = self._detail or step.reason
                 self._next[index] = math.inf
@@ -314,20 +381,17 @@
         self._timer = self._loop.call_at(max(due, now), self._on_timer)
 
     def _outcome(self, now: float) -> HttpResponse | Refusal | None:
-        if self._route.shard_set is None:
+        if self._collector is None:
             return self._plain_outcome(now)
         if self._reply is not None:
             return self._passed_on(self._reply)
-        asked, least = len(self._races), self._route.shard_set.least
-        verdict = parts_verdict(
-            asked=asked,
-            least=least,
-            parts=len(self._parts),
-            lost=self._lost,
-            aim_passed=now >= self._times.aim_cut and self._tools.policy.answers_at_aim,
+        verdict = self._collector.verdict(
+            aim_passed=now >= self._times.aim_cut and self._tools.policy.answers_at_aim
         )
         if verdict is PartsVerdict.ANSWER:
-            return self._merged(self._route.shard_set.top)
+            return self._collector.response(self._request.request_id)
+        if verdict is PartsVerdict.FAIL and self._subset_refusal is not None:
+            return self._subset_refusal
         if verdict is PartsVerdict.FAIL or now >= self._times.answer_by:
             return self._refusal(now)
         return None
@@ -335,15 +399,16 @@
     def _plain_outcome(self, now: float) -> HttpResponse | Refusal | None:
         if self._reply is not None:
             return self._passed_on(self._reply)
-        if self._lost and self._failure is not None:
+        if self._is_lost and self._failure is not None:
             return self._passed_on(self._failure)
-        if self._lost or now >= self._times.answer_by:
+        if self._is_lost or now >= self._times.answer_by:
             return self._refusal(now)
         return None
 
     def _refusal(self, now: float) -> Refusal:
         """Return why there is no answer, and whether any replica may have run the request."""
-        if not any(race.may_have_run for race in self._races):
+        may_have_run = self._subset_may_have_run or any(r.may_have_run for r in self._races)
+        if not may_have_run:
             return Refusal(
                 ErrorKind.NO_REPLICA,
                 self._detail,
@@ -356,20 +421,6 @@
             return Refusal(ErrorKind.INCOMPLETE, self._detail)
         return Refusal(ErrorKind.CONNECTION_LOST, self._detail)
 
-    def _merged(self, top: int) -> HttpResponse:
-        dialect = self._tools.dialect
-        signatures = ", ".join(signature for signature, _ in self._parts.values())
-        absent = len(self._races) - len(self._parts)
-        headers = [
-            (b"content-type", b"application/octet-stream"),
-            (dialect.parts, signatures.encode("latin-1")),
-            (dialect.absent, b"%d" % absent),
-        ]
-        if self._request.request_id:
-            headers.append((dialect.request_id, self._request.request_id))
-        body = greatest((part for _, part in self._parts.values()), top)
-        return HttpResponse(status=200, body=body, raw_headers=tuple(headers))
-
     def _passed_on(self, reply: ExchangeReply) -> HttpResponse:
         return HttpResponse(
             status=reply.status, body=reply.body, raw_headers=self._guide.end_to_end(reply)
@@ -386,3 +437,18 @@
                 attempt.connection.forget()
             else:
                 attempt.handle.pool.withdraw(attempt)
+
+
+def _refusal_of(response: HttpResponse) -> Refusal:
+    """Return the refusal that another VM has answered, with its time to come back."""
+    seconds = dict(response.raw_headers).get(b"retry-after", b"")
+    try:
+        retry_after_ms = int(float(seconds) * 1000)
+    except ValueError:
+        retry_after_ms = None
+    return Refusal(
+        ErrorKind.OVERLOADED,
+        "the merger of a subset refused it",
+        RunState.NOT_RUN,
+        retry_after_ms=retry_after_ms,
+    )
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -346,7 +346,7 @@
         bears=options.bears,
         data_centre=options.data_centre,
         vms=vms.mergers,
-        missing=book.missing,
+        book=book,
         reach=reach,
         dialect=options.dialect,
         metrics=metrics,
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -10,6 +10,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 import attrs
@@ -18,7 +19,7 @@
 from berylspindle_decisions.weighted_turns import WeightedTurns
 from berylspindle_forwarding.attempt_guide import DriveTimes, ForwardTools
 from berylspindle_forwarding.dialect import Dialect
-from berylspindle_forwarding.drive import ForwardDrive
+from berylspindle_forwarding.drive import ForwardDrive, SubsetCall
 from berylspindle_forwarding.relay import Relay, RelayTimes
 from berylspindle_forwarding.request_head import (
     RELAY_LOAD,
@@ -90,6 +91,8 @@
                 return _unrun(self._tools.dialect, forward)
             waited_ms = await self._await_table(forward) if self._table is None else 0.0
             route = self._route(forward)
+            if isinstance(route, Route) and forward.relayed is not None:
+                route = _subset_route(route, forward.relayed.shards)
             if isinstance(route, Refusal):
                 self._count("-", route.kind.value)
                 self._requests.tell(Ended(request=forward, outcome=route, table_wait_ms=waited_ms))
@@ -133,9 +136,8 @@
         """Carry a request out, and tell of its end."""
         started = times.started
         services = self._services(route)
-        for service in services:
-            self._tools.share(service).on_request(started)
-        drive = ForwardDrive(self._tools, route, forward, services, times)
+        subset = self._subset(route, forward, times)
+        drive = ForwardDrive(self._tools, route, forward, services, times, subset)
         outcome: HttpResponse | Refusal = _LEFT
         try:
             outcome = await drive.run()
@@ -155,6 +157,27 @@
             self._may_begin() and self._table is not None and self._table.version == relayed.table
         )
 
+    def _subset(
+        self, route: Route, forward: ForwardRequest, times: DriveTimes
+    ) -> SubsetCall | None:
+        """Return the shards of a search that another VM merges, if any."""
+        if route.shard_set is None or self._table is None:
+            return None
+        if forward.relayed is not None and forward.relayed.shards:
+            return None
+        subset = self._relay.choose_subset(route.shard_set.shards, self._in_flight)
+        if subset is None:
+            return None
+        send = partial(
+            self._relay.pass_on,
+            subset.merger,
+            forward,
+            _relay_times(route, times),
+            table=self._table.version,
+            positions=subset.positions,
+        )
+        return SubsetCall(positions=subset.positions, send=send)
+
     async def _passed_on(
         self, route: Route, forward: ForwardRequest, times: DriveTimes
     ) -> HttpResponse | None:
@@ -162,13 +185,9 @@
         merger = self._relay.choose(route.services, self._in_flight)
         if merger is None or self._table is None:
             return None
-        relay_times = RelayTimes(
-            aim_cut=times.aim_cut,
-            aim=times.started + route.aim_ms / 1000,
-            deadline=times.deadline,
-            answer_by=times.answer_by,
+        outcome = await self._relay.pass_on(
+            merger, forward, _relay_times(route, times), table=self._table.version
         )
-        outcome = await self._relay.pass_on(merger, forward, relay_times, table=self._table.version)
         if not isinstance(outcome, Refusal):
             return outcome
         elapsed_ms = (self._tools.now() - times.started) * 1000
@@ -248,6 +267,24 @@
     )
 
 
+def _subset_route(route: Route, positions: tuple[int, ...]) -> Route:
+    """Return the route of a search over some of its shards."""
+    shard_set = route.shard_set
+    if shard_set is None or not positions:
+        return route
+    shards = tuple(shard_set.shards[n] for n in positions if n < len(shard_set.shards))
+    return attrs.evolve(route, shard_set=attrs.evolve(shard_set, shards=shards))
+
+
+def _relay_times(route: Route, times: DriveTimes) -> RelayTimes:
+    return RelayTimes(
+        aim_cut=times.aim_cut,
+        aim=times.started + route.aim_ms / 1000,
+        deadline=times.deadline,
+        answer_by=times.answer_by,
+    )
+
+
 def refusal_reply(refusal: Refusal, id_header: bytes, request_id: bytes) -> HttpResponse:
     """Return the response that tells a caller of a refusal, with its own id for the request."""
     headers: list[tuple[bytes, bytes]] = []
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/part_collector.py
@@ -0,0 +1,83 @@
+"""Collect the parts of one search and build its answer.
+
+Terms:
+  part      a shard's answer with the replica's signature
+  subset    parts of several shards that another VM has merged
+
+Flow: a drive adds each part, and notes what is lost; `verdict` says whether an answer can go out,
+and `response` builds it.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from berylspindle_decisions.answer_time import PartsVerdict, parts_verdict
+from berylspindle_decisions.record_merge import greatest
+from berylspindle_forwarding.dialect import Dialect
+from berylspindle_model.routing import ShardSet
+from berylspindle_wire.http import HttpResponse
+
+
+class PartCollector:
+    """The parts of one search over a shard set."""
+
+    def __init__(self, shard_set: ShardSet, dialect: Dialect) -> None:
+        self._shard_set: Final = shard_set
+        self._dialect: Final = dialect
+        self._signatures: Final[list[str]] = []
+        self._bodies: Final[list[bytes]] = []
+        self._lost = 0
+
+    @property
+    def asked(self) -> int:
+        """Return how many shards the search is over."""
+        return len(self._shard_set.shards)
+
+    def add(self, signature: str, body: bytes) -> None:
+        """Add the part of one shard."""
+        self._signatures.append(signature)
+        self._bodies.append(body)
+
+    def add_subset(self, response: HttpResponse, shards: int) -> bool:
+        """Add the merged parts of so many shards; return whether the response holds such."""
+        signed = _header(response, self._dialect.parts)
+        signatures = [part.strip() for part in signed.split(",") if part.strip()]
+        absent = _header(response, self._dialect.absent) or "0"
+        if not signatures or not absent.isdigit() or len(signatures) + int(absent) != shards:
+            return False
+        self._signatures.extend(signatures)
+        self._bodies.append(response.body)
+        self._lost += int(absent)
+        return True
+
+    def lose(self, shards: int = 1) -> None:
+        """Note that so many shards give no part."""
+        self._lost += shards
+
+    def verdict(self, *, aim_passed: bool) -> PartsVerdict:
+        """Return whether to answer with the parts that are in."""
+        return parts_verdict(
+            asked=self.asked,
+            least=self._shard_set.least,
+            parts=len(self._signatures),
+            lost=self._lost,
+            aim_passed=aim_passed,
+        )
+
+    def response(self, request_id: bytes) -> HttpResponse:
+        """Return the answer with the parts that are in."""
+        headers = [
+            (b"content-type", b"application/octet-stream"),
+            (self._dialect.parts, ", ".join(self._signatures).encode("latin-1")),
+            (self._dialect.absent, b"%d" % (self.asked - len(self._signatures))),
+        ]
+        if request_id:
+            headers.append((self._dialect.request_id, request_id))
+        body = greatest(self._bodies, self._shard_set.top)
+        return HttpResponse(status=200, body=body, raw_headers=tuple(headers))
+
+
+def _header(response: HttpResponse, name: bytes) -> str:
+    values = [value for key, value in response.raw_headers if key == name]
+    return b", ".join(values).decode("latin-1")
--- a/libs/forwarding/berylspindle_forwarding/relay.py
+++ b/libs/forwarding/berylspindle_forwarding/relay.py
@@ -32,13 +32,16 @@
 from berylspindle_decisions.relay_choice import NEARER, RelayChoice, RelayVm
 from berylspindle_forwarding.catalogue import VmEntry
 from berylspindle_forwarding.dialect import HOP_HEADERS, Dialect
+from berylspindle_forwarding.replica_book import ReplicaBook
 from berylspindle_forwarding.replica_pool import PoolOptions, ReplicaPool, RetiredPools
 from berylspindle_forwarding.request_head import (
     RELAY_AIM,
     RELAY_LOAD,
+    RELAY_SHARDS,
     RELAY_TABLE,
     RELAY_UNRUN,
     ForwardRequest,
+    pack_positions,
 )
 from berylspindle_forwarding.vm_probe import answers
 from berylspindle_model.errors import ErrorKind, Refusal
@@ -65,6 +68,10 @@
 PROBE_S: Final = 0.15
 """Seconds within which a merger that is late answers a probe; it takes some milliseconds."""
 
+LEAST_SUBSET: Final = 6
+"""Shards without a replica here from which on they are merged elsewhere: the hop costs a request
+and an answer, and some milliseconds of the aim."""
+
 _RELAY_HEADERS: Final = frozenset({RELAY_LOAD, RELAY_UNRUN})
 
 
@@ -78,6 +85,14 @@
     answer_by: float
 
 
+@attrs.frozen(kw_only=True)
+class Subset:
+    """The shards of a search that one VM elsewhere merges, as positions in the list of them."""
+
+    merger: str
+    positions: tuple[int, ...]
+
+
 class _Passed(ExchangeSink):
     """One request on its way through a merger."""
 
@@ -104,7 +119,7 @@
     """This VM's ways to bigger ones.
 
     `vms` returns those that may merge its requests, by name, and another mapping once one has
-    changed; `missing` returns by data centre the share of services that have no replica there.
+    changed.
     """
 
     def __init__(
@@ -113,7 +128,7 @@
         bears: float,
         data_centre: str,
         vms: Callable[[], Mapping[str, VmEntry]],
-        missing: Callable[[tuple[str, ...]], Mapping[str, float]],
+        book: ReplicaBook,
         reach: Reach,
         dialect: Dialect,
         metrics: Metrics,
@@ -124,7 +139,7 @@
         self._policy: Final = policy
         self._data_centre: Final = data_centre
         self._vms: Final = vms
-        self._missing: Final = missing
+        self._book: Final = book
         self._reach: Final = reach
         self._dialect: Final = dialect
         self._metrics: Final = metrics
@@ -143,7 +158,7 @@
         known = self._vms()
         if known is not self._seen:
             self._follow(known)
-        now, missing = self._now(), self._missing(shards)
+        now, missing = self._now(), self._book.missing(shards)
         own_missing = missing.get(self._data_centre, 1.0)
         mergers = (
             RelayVm(name, vm.bears, missing.get(vm.data_centre, 1.0))
@@ -154,10 +169,33 @@
             now, mergers, in_flight=in_flight, u=self._u(), missing=own_missing
         )
 
+    def choose_subset(self, shards: tuple[str, ...], in_flight: int) -> Subset | None:
+        """Return who merges the shards that have no replica in this data centre, if anyone."""
+        far = self._book.far_positions(shards)
+        if len(far) < LEAST_SUBSET or len(far) == len(shards):
+            return None
+        merger = self.choose(tuple(shards[n] for n in far), in_flight)
+        if merger is None:
+            return None
+        data_centre = self._seen[merger].data_centre
+        if data_centre == self._data_centre:
+            return None
+        held = tuple(n for n in far if self._book.holds(data_centre, shards[n]))
+        return Subset(merger=merger, positions=held)
+
     async def pass_on(
-        self, merger: str, forward: ForwardRequest, times: RelayTimes, *, table: int
+        self,
+        merger: str,
+        forward: ForwardRequest,
+        times: RelayTimes,
+        *,
+        table: int,
+        positions: tuple[int, ...] = (),
     ) -> HttpResponse | Refusal | None:
-        """Return the merger's answer or a refusal; None where it has surely not begun."""
+        """Return the merger's answer or a refusal; None where it has surely not begun.
+
+        With `positions` it is asked for these shards only.
+        """
         vm = self._vms().get(merger)
         if vm is None:
             return None
@@ -169,7 +207,7 @@
         late = loop.call_at(times.aim, self._on_late, merger, vm, pool, passed)
         hop_ms = HOP_MS if vm.data_centre == self._data_centre else FAR_HOP_MS
         passed.connection = pool.submit(
-            lambda: self._request(forward, times, table, hop_ms), passed
+            lambda: self._request(forward, times, table, hop_ms, positions), passed
         )
         over = False
         try:
@@ -242,18 +280,25 @@
         return HttpResponse(status=outcome.status, body=outcome.body, raw_headers=kept)
 
     def _request(
-        self, forward: ForwardRequest, times: RelayTimes, table: int, hop_ms: float
+        self,
+        forward: ForwardRequest,
+        times: RelayTimes,
+        table: int,
+        hop_ms: float,
+        positions: tuple[int, ...],
     ) -> ExchangeRequest:
         now = self._now()
         left_ms = max(1, int((times.deadline - now) * 1000 - hop_ms))
         aim_ms = max(1, int((times.aim_cut - now) * 1000 - hop_ms))
-        headers = (
+        headers = [
             *forward.passed_on,
             (self._dialect.time_left, b"%d" % left_ms),
             (RELAY_TABLE, b"%d" % table),
             (RELAY_AIM, b"%d" % aim_ms),
-        )
-        return ExchangeRequest(forward.method, forward.target, headers, forward.body)
+        ]
+        if positions:
+            headers.append((RELAY_SHARDS, pack_positions(positions)))
+        return ExchangeRequest(forward.method, forward.target, tuple(headers), forward.body)
 
     def _pool(self, vm: VmEntry) -> ReplicaPool:
         address = (vm.host, vm.callers_port)
--- a/libs/forwarding/berylspindle_forwarding/replica_book.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_book.py
@@ -97,6 +97,7 @@
         self._handles: dict[str, ReplicaHandle] = {}
         self._usable: dict[str, tuple[ReplicaHandle, ...]] = {}
         self._missing: dict[tuple[str, ...], Mapping[str, float]] = {}
+        self._far: dict[tuple[str, ...], tuple[int, ...]] = {}
         self._out: frozenset[str] = frozenset()
         self._table: RoutingTable | None = None
         self._retired: Final = RetiredPools()
@@ -178,9 +179,21 @@
             self._missing[services] = found
         return found
 
+    def far_positions(self, services: tuple[str, ...]) -> tuple[int, ...]:
+        """Return the positions of the services without a usable replica in this data centre."""
+        found = self._far.get(services)
+        if found is None:
+            found = tuple(n for n, name in enumerate(services) if not self.has_at_home(name))
+            self._far[services] = found
+        return found
+
+    def holds(self, data_centre: str, service: str) -> bool:
+        """Return whether a service has a usable replica in a data centre."""
+        return any(h.replica.data_centre == data_centre for h in self.usable(service))
+
     def has_at_home(self, service: str) -> bool:
         """Tell whether a service has a usable replica in this VM's data centre."""
-        return any(h.replica.data_centre == self._data_centre for h in self.usable(service))
+        return self.holds(self._data_centre, service)
 
     def pick(self, service: str, *, tried: frozenset[str], hedge: bool) -> ReplicaHandle | None:
         """Return the replica of least cost that was not tried, or None.
@@ -222,6 +235,7 @@
     def _forget_choices(self) -> None:
         self._usable.clear()
         self._missing.clear()
+        self._far.clear()
 
     def _open(self, replica: Replica) -> ReplicaHandle:
         standing = Standing(
--- a/libs/forwarding/berylspindle_forwarding/request_head.py
+++ b/libs/forwarding/berylspindle_forwarding/request_head.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import re
+from collections.abc import Iterable
 from typing import Final
 
 import attrs
@@ -16,20 +18,28 @@
 
 MOST_MS: Final = 600_000
 
+_HEX: Final = re.compile(rb"[0-9a-f]{1,1024}")
+
 RELAY_TABLE: Final = b"x-relay-table"
 RELAY_AIM: Final = b"x-relay-aim-ms"
+RELAY_SHARDS: Final = b"x-relay-shards"
 RELAY_LOAD: Final = b"x-relay-load"
 RELAY_UNRUN: Final = b"x-relay-unrun"
-"""Headers between VMs: the origin's table version and the time to its aim; the merger's work under
-way, and its word that it has not begun the request."""
+"""Headers between VMs: the origin's table version, the time to its aim, and the shards that are
+asked for where these are not all; the merger's work under way, and its word that it has not begun
+the request."""
 
 
 @attrs.frozen
 class Relayed:
-    """What another VM says of a request that it passes on to this one."""
+    """What another VM says of a request that it passes on to this one.
+
+    `shards` holds positions in the route's list of shards; empty for all of them.
+    """
 
     table: int
     aim_ms: float
+    shards: tuple[int, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -58,6 +68,7 @@
     """Return what the edge needs of a request that was read raw."""
     request_id, left_ms, host = b"", None, ""
     relay_table, relay_aim = None, None
+    relay_shards: tuple[int, ...] = ()
     passed_on: list[tuple[bytes, bytes]] = []
     hop = set(HOP_HEADERS)
     for name, value in request.raw_headers:
@@ -76,6 +87,9 @@
         if name == RELAY_AIM:
             relay_aim = _milliseconds(value)
             continue
+        if name == RELAY_SHARDS:
+            relay_shards = unpack_positions(value)
+            continue
         if name == dialect.request_id:
             request_id = value
         elif name == b"host":
@@ -91,7 +105,7 @@
         passed_on=tuple(passed_on),
         body=request.body,
         relayed=(
-            Relayed(relay_table, relay_aim)
+            Relayed(relay_table, relay_aim, relay_shards)
             if relay_table is not None and relay_aim is not None
             else None
         ),
@@ -110,6 +124,19 @@
     return ExchangeRequest(request.method, request.target, headers, request.body)
 
 
+def pack_positions(positions: Iterable[int]) -> bytes:
+    """Return positions as hexadecimal bits."""
+    return b"%x" % sum(1 << position for position in positions)
+
+
+def unpack_positions(value: bytes) -> tuple[int, ...]:
+    """Return the positions that `pack_positions` has packed; none where they can't be read."""
+    if not _HEX.fullmatch(value):
+        return ()
+    bits = int(value, 16)
+    return tuple(n for n in range(bits.bit_length()) if bits >> n & 1)
+
+
 def _milliseconds(value: bytes) -> float | None:
     text = value.strip()
     if not text.isdigit():
--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -16,6 +16,7 @@
 from berylspindle_wire.http_server import serve
 
 SHARDS = ("s0", "s1", "s2")
+TWELVE = tuple(f"t{n}" for n in range(12))
 
 
 def bring_into_force(*sites: Site) -> None:
@@ -106,6 +107,69 @@
         assert far.forwarder.book.missing(SHARDS) == {}
 
 
+@asynccontextmanager
+async def halves() -> AsyncIterator[tuple[Site, Site]]:
+    """Return sites of two data centres, each with the replicas of half of the shards."""
+    async with AsyncExitStack() as stack:
+        here = await stack.enter_async_context(open_site(vm="here", bears=2.0))
+        there = await stack.enter_async_context(open_site(vm="there", bears=2.0, data_centre="b"))
+        for number, shard in enumerate(TWELVE):
+            data_centre = "ab"[number % 2]
+            replica = await there.replica(f"{shard}-0", shard, data_centre=data_centre)
+            here.announce(replica, data_centre=data_centre)
+        entry = VmEntry(
+            host="127.0.0.1", port=1, data_centre="b", callers_port=there.server.port, bears=2.0
+        )
+        here.forwarder.on_change(VmChange("there", entry))
+        for site in (here, there):
+            site.route(merged_route(TWELVE, least=0.9))
+        yield here, there
+
+
+async def test_shards_without_a_replica_near_come_as_one_answer() -> None:
+    """Guards against a part for each shard over the links between data centres."""
+    async with halves() as (here, there):
+        path = "/lots/1"
+        told = await here.ask(path)
+        assert told.body == greatest([answer_body(shard, path) for shard in TWELVE], 5)
+        assert len(told.headers[DIALECT.parts.decode()].split(", ")) == 12
+        assert told.headers[DIALECT.absent.decode()] == "0"
+        assert set(here.forwarder._tools.shares) == set(TWELVE[::2])
+        assert set(there.forwarder._tools.shares) == set(TWELVE[1::2])
+
+
+@pytest.mark.parametrize("why", ["gone", "older"])
+async def test_a_subset_that_has_not_begun_elsewhere_is_asked_for_here(why: str) -> None:
+    """Guards against searches that fail with the VM that should have merged half of them."""
+    async with halves() as (here, there):
+        if why == "gone":
+            await there.server.close(0.0)
+        else:
+            here.route(merged_route(TWELVE, least=0.9))
+        told = await here.ask("/lots/1")
+        assert told.status == 200
+        assert len(told.headers[DIALECT.parts.decode()].split(", ")) == 12
+        assert sum(there.runs().values()) == 12
+
+
+async def test_shards_that_a_merger_lacks_are_counted_as_missing() -> None:
+    """Guards against an answer that claims parts which another VM did not get."""
+    async with halves() as (here, there):
+        for shard in (TWELVE[1], TWELVE[3]):
+            there.replicas[f"{shard}-0"].behaviour.fail = 10
+        told = await here.ask("/lots/1", left_ms=1500)
+        assert told.status in (502, 504)
+        there.replicas[f"{TWELVE[3]}-0"].behaviour.fail = 0
+        there.replicas[f"{TWELVE[1]}-0"].behaviour.fail = 10
+        here.version = there.version = 7
+        for site in (here, there):
+            site.route(merged_route(TWELVE, least=0.8))
+        told = await here.ask("/lots/2")
+        assert told.status == 200
+        assert told.headers[DIALECT.absent.decode()] == "1"
+        assert len(told.headers[DIALECT.parts.decode()].split(", ")) == 11
+
+
 async def test_a_caller_is_told_soon_that_its_merger_has_fallen_silent() -> None:
     """Guards against callers that wait for a VM without power until they can't try again."""
     async with pair() as (small, _):
