Probe two data centres all the time from one VM of each

Cause: followers of a watcher that restarts, or that sees no request, heard of a cut a second late.

Change: the VM that follows the store probes two other data centres each 0.4 s over open connections; each watcher follows all before it, not the first alone.

--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -134,6 +134,7 @@
             data_centre=options.data_centre,
             vms=lambda: self.vms.entries,
             table=lambda: self.front.table,
+            watches=lambda: not self.vms.watchers(),
             now=loop.time,
             on_change=self._note_cut_off,
         )
@@ -196,6 +197,7 @@
     async def close(self) -> None:
         """Close all connections."""
         await self._choice.close()
+        await self._outside.close()
         await self._relay.close()
         await self.book.close()
 
--- a/libs/forwarding/berylspindle_forwarding/outside.py
+++ b/libs/forwarding/berylspindle_forwarding/outside.py
@@ -5,8 +5,9 @@
   again at home   a route whose shards, enough of them, have a replica in this VM's own data centre
 
 Flow: `run` looks ten times a second. A VM that is cut off says so at once, unless all routes can be
-served at home, and probes peers elsewhere until one answers. Nothing is probed while all is well. A
-VM that follows the mirror of one that is cut off is `told`, and suspects that it is too.
+served at home, and probes peers elsewhere until one answers. While all is well only a VM that no
+other one watches for probes, two data centres at a time, and so sees a cut before callers' requests
+show it. A VM that follows the mirror of one that is cut off is `told`, and suspects that it is too.
 
 Guards: where twenty VMs share a data centre's callers, most of them see too few requests to notice
 a cut themselves; the balancer goes on sending callers to each that is ready, and needs all of them
@@ -19,13 +20,13 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
-from berylspindle_decisions.reach import Reach
+from berylspindle_decisions.reach import TRIES, Reach
 from berylspindle_forwarding.catalogue import VmEntry
 from berylspindle_forwarding.replica_book import ReplicaBook
-from berylspindle_forwarding.vm_probe import answers
+from berylspindle_forwarding.vm_probe import Prober
 from berylspindle_model.routing import Route, RoutingTable
 
 LOOK_S: Final = 0.1
@@ -34,6 +35,11 @@
 
 PROBE_S: Final = 0.25
 
+WATCH_S: Final = 0.4
+WATCHED: Final = 2
+"""Seconds between two rounds of probes while all is well, and data centres that are probed in each:
+as many as have to be dark for a VM that is cut off."""
+
 BALANCER_S: Final = 2.1
 """Seconds after which a balancer that asks every second and counts two misses has seen that this VM
 is unready."""
@@ -50,9 +56,14 @@
         data_centre: str,
         vms: Callable[[], tuple[VmEntry, ...]],
         table: Callable[[], RoutingTable | None],
+        watches: Callable[[], bool],
         now: Callable[[], float],
         on_change: Callable[[bool], None],
     ) -> None:
+        """Take also whether this VM probes while all is well."""
+        self._watches: Final = watches
+        self._watch_at = 0.0
+        self._prober: Final = Prober()
         self._reach: Final = reach
         self._book: Final = book
         self._data_centre: Final = data_centre
@@ -94,7 +105,10 @@
             now = self._now()
             self._note(self._reach.is_cut_off(now) and not self._all_at_home())
             if self._reach.should_probe(now):
-                await self._probe()
+                await self._probe(self._peers())
+            elif self._watches() and now >= self._watch_at:
+                self._watch_at = now + WATCH_S
+                await self._watch()
 
     def _note(self, cut_off: bool) -> None:
         if cut_off == self.is_cut_off:
@@ -102,19 +116,42 @@
         self._since = self._now() if cut_off else None
         self._on_change(cut_off)
 
-    async def _probe(self) -> None:
-        """Ask one peer of each other data centre at once."""
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._prober.close()
+
+    def _peers(self) -> dict[str, list[VmEntry]]:
+        """Return the VMs of each other data centre."""
         peers: dict[str, list[VmEntry]] = {}
         for vm in self._vms():
             if vm.data_centre != self._data_centre:
                 peers.setdefault(vm.data_centre, []).append(vm)
-        asked = [self._probe_one(random.choice(found)) for found in peers.values()]
-        await asyncio.gather(*asked)
-
-    async def _probe_one(self, vm: VmEntry) -> None:
+        return peers
+
+    async def _watch(self) -> None:
+        """Probe a few data centres, and others of their VMs as long as none answers."""
+        peers = self._peers()
+        watched = sorted(peers)[:WATCHED]
+        for _ in range(TRIES):
+            heard = await self._probe({name: peers[name] for name in watched})
+            if heard or not watched:
+                return
+
+    async def _probe(self, peers: Mapping[str, list[VmEntry]]) -> bool:
+        """Ask one VM of each of these data centres at once; return whether any has answered."""
+        asked = [self._probe_one(self._choose(found)) for found in peers.values()]
+        return any(await asyncio.gather(*asked))
+
+    def _choose(self, vms: list[VmEntry]) -> VmEntry:
+        known = [vm for vm in vms if self._prober.knows(vm.host, vm.port)]
+        return random.choice(known or vms)
+
+    async def _probe_one(self, vm: VmEntry) -> bool:
         self._reach.tried(self._now(), vm.data_centre)
-        if await answers(vm.host, vm.port, timeout=PROBE_S):
-            self._reach.heard(self._now(), vm.data_centre)
+        if not await self._prober.answers(vm.host, vm.port, timeout=PROBE_S):
+            return False
+        self._reach.heard(self._now(), vm.data_centre)
+        return True
 
     def _all_at_home(self) -> bool:
         table = self._table()
--- a/libs/forwarding/berylspindle_forwarding/vm_book.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_book.py
@@ -89,13 +89,14 @@
     def watchers(self) -> tuple[MirrorAddress, ...]:
         """Return whose mirrors this VM follows; none where it follows the store itself.
 
-        The first watcher follows the store, the others the first, and all other VMs any of them.
+        The first watcher follows the store, each other one those before it, and all other VMs any
+        of them.
         """
         near = {name: vm for name, vm in self._vms.items() if vm.data_centre == self._data_centre}
         bears = {name: vm.bears for name, vm in near.items()}
         first = watchers_of({**bears, self._vm: self._bears}, data_centre=self._data_centre)
         if self._vm in first:
-            first = first[:1] if self._vm != first[0] else ()
+            first = first[: first.index(self._vm)]
         return tuple(MirrorAddress(near[n].host, near[n].port, True) for n in first)
 
     def mergers(self) -> Mapping[str, VmEntry]:
