--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -268,12 +268,17 @@
 
 
 def _subset_route(route: Route, positions: tuple[int, ...]) -> Route:
-    """Return the route of a search over some of its shards."""
+    """Return the route of a search over some of its shards.
+
+    All that may be missing of the whole may be missing here.
+    """
     shard_set = route.shard_set
     if shard_set is None or not positions:
         return route
     shards = tuple(shard_set.shards[n] for n in positions if n < len(shard_set.shards))
-    return attrs.evolve(route, shard_set=attrs.evolve(shard_set, shards=shards))
+    least = max(1, shard_set.least - (len(shard_set.shards) - len(shards)))
+    subset = attrs.evolve(shard_set, shards=shards, least_share=least / len(shards))
+    return attrs.evolve(route, shard_set=subset)
 
 
 def _relay_times(route: Route, times: DriveTimes) -> RelayTimes:
