Recognise requests that crash replicas, on all VMs, by records in the store

Lost answers of sound replicas are no strikes.

Through eight VMs, four shards of three replicas: three tries crash 10 replicas at most, 16 more none; without the watch the test fails, and without the check of the replica the test of lost answers does. A caller is answered 503 and told when to come back: 4xx would count the request as improper.

--- a/libs/decisions/berylspindle_decisions/quarantine.py
+++ b/libs/decisions/berylspindle_decisions/quarantine.py
@@ -134,6 +134,11 @@
         self._good: OrderedDict[str, None] = OrderedDict()
         self._alert_until = float("-inf")
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing is held against any fingerprint."""
+        return not self._records
+
     def level(self, now: float, fingerprint: str) -> Level:
         """Return what is held against a fingerprint."""
         record = self._current(now, fingerprint)
--- a/libs/forwarding/berylspindle_forwarding/attempt_guide.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_guide.py
@@ -33,6 +33,7 @@
 )
 from berylspindle_decisions.reach import Reach
 from berylspindle_decisions.replica_standing import Standing
+from berylspindle_forwarding.crash_watch import CrashWatch
 from berylspindle_forwarding.dialect import HOP_HEADERS, Dialect
 from berylspindle_forwarding.replica_book import ReplicaBook, ReplicaHandle
 from berylspindle_forwarding.reply_check import ReplyClass
@@ -72,6 +73,7 @@
     """
 
     book: ReplicaBook
+    crashes: CrashWatch
     reach: Reach
     dialect: Dialect
     metrics: Metrics
--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -27,6 +27,7 @@
 
 import attrs
 
+from berylspindle_decisions.quarantine import SuspectRecord
 from berylspindle_forwarding.follow_choice import FollowChoice, Followed
 from berylspindle_forwarding.mirror import Mirror
 from berylspindle_model.routing import Replica, RoutingTable
@@ -107,6 +108,13 @@
     vm: VmEntry | None
 
 
+@attrs.frozen
+class SuspectChange:
+    """Another VM has found a request that crashes replicas."""
+
+    record: SuspectRecord
+
+
 @attrs.frozen
 class Unreadable:
     """An entry that names nothing; the reason is for the log."""
@@ -115,7 +123,7 @@
     reason: str
 
 
-Change = TableChange | ReplicaChange | OutChange | VmChange | Unreadable
+Change = TableChange | ReplicaChange | OutChange | VmChange | SuspectChange | Unreadable
 
 
 class CatalogueReader(abc.ABC):
--- a/libs/forwarding/berylspindle_forwarding/drive.py
+++ b/libs/forwarding/berylspindle_forwarding/drive.py
@@ -19,7 +19,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Sequence
 from typing import Any, Final
 
 import attrs
@@ -113,6 +113,8 @@
         services: tuple[str, ...],
         times: DriveTimes,
         subset: SubsetCall | None = None,
+        *,
+        canary: bool = False,
     ) -> None:
         self._tools: Final = tools
         self._route: Final = route
@@ -135,6 +137,7 @@
         self._collector: Final = (
             PartCollector(route.shard_set, tools.dialect) if route.shard_set is not None else None
         )
+        self._is_canary: Final = canary
         self._subset: Final = subset
         self._subset_task: asyncio.Task[None] | None = None
         self._subset_refusal: Refusal | None = None
@@ -192,7 +195,11 @@
                 self._loop.call_later(max(0.0, late), self._end_attempts, "nobody waits")
 
     def _start(self) -> None:
-        apart = self._subset.positions if self._subset is not None else ()
+        apart: Sequence[int] = ()
+        if self._is_canary:
+            apart = range(1, len(self._races))
+        elif self._subset is not None:
+            apart = self._subset.positions
         for index in apart:
             self._next[index] = math.inf
         self._begin(index for index in range(len(self._races)) if index not in apart)
@@ -257,6 +264,9 @@
         now = self._tools.now()
         self._out.discard(attempt)
         self._guide.note_end(now, attempt, end)
+        if end.kind is EndKind.LOST:
+            elapsed_ms = (now - attempt.record.sent_at) * 1000
+            self._tools.crashes.lost(self._request, attempt.handle, elapsed_ms=elapsed_ms)
         known = AttemptEnd.MAY_HAVE_RUN
         if end.kind is EndKind.NOT_SENT:
             known = AttemptEnd.NOT_SENT
@@ -299,8 +309,18 @@
             self._busy = False
         else:
             self._next[index] = math.inf
+        if self._is_canary and index == 0:
+            self._follow_canary()
         self._settle()
 
+    def _follow_canary(self) -> None:
+        """Let the other shards begin once the first one has answered; give them up with it."""
+        state, others = self._races[0].state, range(1, len(self._races))
+        if state is RaceState.WON:
+            self._begin(others)
+        elif state is RaceState.LOST and self._collector is not None:
+            self._collector.lose(len(others))
+
     def _step(self, index: int) -> None:
         """Let one race do what it has to do now."""
         race = self._races[index]
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -18,6 +18,7 @@
 from berylspindle_decisions.extra_share import ExtraBounds
 from berylspindle_decisions.forward_policy import ForwardPolicy, switched_off
 from berylspindle_decisions.overload_gate import OverloadGate
+from berylspindle_decisions.quarantine import FirstSeen, Quarantine, QuarantineOptions
 from berylspindle_decisions.reach import Reach
 from berylspindle_forwarding.attempt_guide import ForwardTools
 from berylspindle_forwarding.catalogue import (
@@ -27,11 +28,13 @@
     Change,
     OutChange,
     ReplicaChange,
+    SuspectChange,
     TableChange,
     Unreadable,
     VmChange,
     VmEntry,
 )
+from berylspindle_forwarding.crash_watch import CrashWatch
 from berylspindle_forwarding.dialect import Dialect
 from berylspindle_forwarding.follow_choice import FollowChoice, MirrorAddress
 from berylspindle_forwarding.front import Front
@@ -50,6 +53,9 @@
 from berylspindle_telemetry.metrics import Metrics
 from berylspindle_wire.http import HttpLimits
 
+SUSPECT_S: Final = 120.0
+"""Seconds for which a request that has crashed replicas once is tried on one shard first."""
+
 USED_S: Final = 5.0
 """Seconds after a caller's request in which this VM counts as used."""
 
@@ -61,6 +67,7 @@
     Attributes:
         peers: where this VM's mirror is read, or None; `seeds` are those of some others.
         announce_key: key of this VM's entry in the store, or empty.
+        suspects_prefix: prefix of the keys of requests that crash replicas, or empty.
         callers_port: where this VM takes requests of others, or 0.
         bears: what this VM can work on (`decisions.relay_choice`).
         first_start: whether all VMs of the system start now, for the first time.
@@ -75,6 +82,7 @@
     peers: MirrorAddress | None = None
     seeds: tuple[MirrorAddress, ...] = ()
     announce_key: str = ""
+    suspects_prefix: str = ""
     callers_port: int = 0
     bears: float = 1.0
     first_start: bool = False
@@ -113,7 +121,14 @@
         self._reach: Final = Reach(options.data_centre)
         self.on_cut_off: Callable[[bool], None] = lambda cut_off: None
         self.book: Final = _book(options, self.vms, self._reach, metrics)
+        self._crashes: Final = CrashWatch(
+            Quarantine(QuarantineOptions(first_seen=FirstSeen.NEVER, suspect_s=SUSPECT_S)),
+            store,
+            key_prefix=options.suspects_prefix,
+            now=loop.time,
+        )
         self._tools: Final = ForwardTools(
+            crashes=self._crashes,
             book=self.book,
             reach=self._reach,
             dialect=options.dialect,
@@ -197,6 +212,7 @@
     async def close(self) -> None:
         """Close all connections."""
         await self._choice.close()
+        await self._crashes.close()
         await self._outside.close()
         await self._relay.close()
         await self.book.close()
@@ -211,6 +227,8 @@
             self._set_out(change)
         elif isinstance(change, VmChange):
             self._take_vm(change)
+        elif isinstance(change, SuspectChange):
+            self._crashes.merge(change.record)
         else:
             self._note_unreadable(change)
 
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -16,6 +16,7 @@
 import attrs
 
 from berylspindle_decisions.answer_time import MARGIN_MS, NEW_CONNECTION_MS
+from berylspindle_decisions.quarantine import RunMode
 from berylspindle_decisions.weighted_turns import WeightedTurns
 from berylspindle_forwarding.attempt_guide import DriveTimes, ForwardTools
 from berylspindle_forwarding.dialect import Dialect
@@ -135,15 +136,27 @@
     ) -> HttpResponse:
         """Carry a request out, and tell of its end."""
         started = times.started
+        mode = self._tools.crashes.mode(forward)
+        if isinstance(mode, Refusal):
+            self._count(route.name, mode.kind.value)
+            self._requests.tell(Ended(request=forward, outcome=mode, route=route))
+            return refusal_reply(mode, self._tools.dialect.request_id, forward.request_id)
+        is_canary = mode is RunMode.CANARY
+        if is_canary:
+            route = attrs.evolve(route, max_replicas=1)
         services = self._services(route)
-        subset = self._subset(route, forward, times)
-        drive = ForwardDrive(self._tools, route, forward, services, times, subset)
+        subset = None if is_canary else self._subset(route, forward, times)
+        drive = ForwardDrive(self._tools, route, forward, services, times, subset, canary=is_canary)
         outcome: HttpResponse | Refusal = _LEFT
         try:
             outcome = await drive.run()
         finally:
             # A caller that leaves has this task cancelled; its request is told of all the same.
             self._tell(route, forward, drive, outcome, started, waited_ms)
+            if is_canary:
+                self._tools.crashes.unsettled(forward)
+        if not isinstance(outcome, Refusal):
+            self._tools.crashes.answered(forward)
         if isinstance(outcome, Refusal):
             outcome = refusal_reply(outcome, self._tools.dialect.request_id, forward.request_id)
         if forward.relayed is not None:
--- a/libs/forwarding/berylspindle_forwarding/replica_pool.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_pool.py
@@ -74,6 +74,7 @@
         self._free: Final[list[ExchangeConnection]] = []
         self._waiting: Final[deque[tuple[WriteRequest, ExchangeSink]]] = deque()
         self._tasks: Final[set[asyncio.Task[None]]] = set()
+        self._failures = 0
         self._closed = False
 
     @property
@@ -110,6 +111,18 @@
         if not self._open and not self._tasks:
             self._start_opening()
 
+    async def is_reachable(self) -> bool:
+        """Return whether the address takes a connection; one that is opened stays in the pool."""
+        if any(not connection.peer_has_ended() for connection in self._free):
+            return True
+        if self._closed:
+            return False
+        if not self._tasks:
+            self._start_opening()
+        failures = self._failures
+        await asyncio.wait(tuple(self._tasks), return_when=asyncio.FIRST_COMPLETED)
+        return self._failures == failures
+
     async def close(self) -> None:
         """Close all connections; what is under way or waits is told so."""
         self._closed = True
@@ -155,6 +168,7 @@
                 on_free=self._on_free,
             )
         except OSError as error:
+            self._failures += 1
             self._end_waiting(f"connect: {error or type(error).__name__}")
             return
         if self._closed:
--- a/libs/standins/berylspindle_standins/forward_replica.py
+++ b/libs/standins/berylspindle_standins/forward_replica.py
@@ -87,6 +87,7 @@
     runs: Counter[str] = attrs.field(factory=Counter)
     refused: int = 0
     ended_early: int = 0
+    crashes: int = 0
     connections: int = 0
     times_left: list[int] = attrs.field(factory=list)
     targets: list[str] = attrs.field(factory=list)
@@ -144,6 +145,11 @@
         for writer in tuple(self._writers):
             _reset(writer)
 
+    async def revive(self) -> None:
+        """Take connections again after `go_down`."""
+        if self._server is not None and not self._server.is_serving():
+            await self.listen()
+
     async def close(self) -> None:
         """End everything."""
         self.resume()
@@ -223,6 +229,7 @@
         counts.bodies.append(body)
         counts.times_left.append(int(headers.get(self._dialect.time_left.decode(), "0")))
         if behaviour.crash and behaviour.crash in target:
+            counts.crashes += 1
             self.go_down()
             return False
         if behaviour.work:
--- /dev/null
+++ b/tests/forwarding/test_crash_watch.py
@@ -0,0 +1,128 @@
+"""A request that crashes the replicas that run it, sent again through many VMs."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from forward_site import NoStore, Site, merged_route, open_site, plain_route
+
+from berylspindle_decisions.quarantine import SuspectRecord
+from berylspindle_forwarding.catalogue import SuspectChange
+from berylspindle_forwarding.crash_watch import MOST_WRITES
+from berylspindle_model import codec
+from berylspindle_standins.forward_replica import Spoil
+from berylspindle_store.store import Lease, StoreAway, StoreConflict, StoredValue
+
+SHARDS = ("s0", "s1", "s2", "s3")
+REPLICAS = 3
+POISON = "poison"
+DOWN_S = 0.3
+
+
+class RecordStore(NoStore):
+    """Keeps records and hands each to all VMs, as their watches would; perhaps away."""
+
+    def __init__(self) -> None:
+        self.sites: list[Site] = []
+        self.entries: dict[str, StoredValue] = {}
+        self.writes = 0
+        self.away = False
+
+    async def grant_lease(self, ttl: float) -> Lease:
+        if self.away:
+            raise StoreAway("away")
+        return Lease(id="1", ttl=ttl)
+
+    async def compare_and_swap(self, key, value, *, expect, lease=None) -> StoredValue:
+        current = self.entries.get(key)
+        if expect != (current.revision if current is not None else 0):
+            raise StoreConflict(current)
+        self.writes += 1
+        self.entries[key] = StoredValue(key=key, value=value, revision=self.writes)
+        for site in self.sites:
+            site.forwarder.on_change(SuspectChange(codec.from_json(value, SuspectRecord)))
+        return self.entries[key]
+
+
+@asynccontextmanager
+async def fleet(vms: int) -> AsyncIterator[tuple[RecordStore, list[Site]]]:
+    """Return sites that know the same replicas, all of which crash on the poison."""
+    async with AsyncExitStack() as stack:
+        store = RecordStore()
+        for number in range(vms):
+            options = {"vm": f"vm-{number}", "suspects_prefix": "suspects/"}
+            store.sites.append(await stack.enter_async_context(open_site(store=store, **options)))
+        first, *others = store.sites
+        for service in (*SHARDS, "booking"):
+            for number in range(REPLICAS):
+                replica = await first.replica(f"{service}-{number}", service)
+                replica.behaviour.crash = POISON
+                for site in others:
+                    site.announce(replica)
+        for site in store.sites:
+            site.route(merged_route(SHARDS), plain_route(repeatable=True, max_replicas=2))
+        yield store, store.sites
+
+
+def crashes(sites: list[Site]) -> int:
+    return sum(replica.counts.crashes for replica in sites[0].replicas.values())
+
+
+async def revive(site: Site) -> None:
+    await asyncio.sleep(DOWN_S)
+    for replica in site.replicas.values():
+        await replica.revive()
+
+
+async def test_a_request_sent_through_eight_vms_crashes_no_more_after_three_tries() -> None:
+    """Guards against a request that takes a replica of each shard down at each VM."""
+    async with fleet(8) as (_, sites):
+        for site in sites[:3]:
+            await site.ask(f"/lots/{POISON}", left_ms=1500)
+            await revive(sites[0])
+        before = crashes(sites)
+        for site in (*sites, *sites):
+            told = await site.ask(f"/lots/{POISON}", left_ms=1500)
+            assert told.status == 503
+            assert float(told.headers["retry-after"]) > 0
+        assert crashes(sites) == before
+        # A suspect runs on one shard first: its second and third try cost one replica each.
+        assert before <= 2 * len(SHARDS) + 2
+        assert (await sites[0].ask("/lots/sound")).status == 200
+
+
+async def test_a_request_whose_answers_are_lost_is_held_for_no_crash() -> None:
+    """Guards against callers refused for a minute because a sound replica lost their answer."""
+    async with fleet(2) as (store, sites):
+        for replica in sites[0].replicas.values():
+            replica.behaviour.spoil, replica.behaviour.spoiled = Spoil.LOST, 1
+        await sites[0].ask("/lots/1", left_ms=1500)
+        await asyncio.sleep(0.3)
+        assert store.writes == 0
+        for site in sites:
+            assert (await site.ask("/lots/1")).status == 200
+
+
+async def test_a_vm_without_the_store_holds_off_what_it_has_seen_crash() -> None:
+    """Guards against a cut off VM that goes on crashing the replicas that it reaches."""
+    async with fleet(1) as (store, sites):
+        store.away = True
+        for _ in range(3):
+            await sites[0].ask(f"/booking/{POISON}", left_ms=1500)
+            await revive(sites[0])
+        before = crashes(sites)
+        assert (await sites[0].ask(f"/booking/{POISON}")).status == 503
+        assert crashes(sites) == before
+
+
+async def test_what_a_vm_tells_of_crashes_is_bounded() -> None:
+    """Guards against a store flooded by a caller whose every request crashes replicas."""
+    async with fleet(1) as (store, sites):
+        for number in range(MOST_WRITES + 4):
+            await sites[0].ask(f"/booking/{POISON}-{number}", left_ms=500)
+            for replica in sites[0].replicas.values():
+                await replica.revive()
+        await asyncio.sleep(0.3)
+        assert 0 < store.writes <= MOST_WRITES
