Give the bigger VMs time to be seen at the first start, and log entries on watchers alone

Cause: the first lists are seconds old, so that small VMs saw nobody and announced themselves; and each VM wrote a line for each of 400 replicas at its start and at each change. Change: up to four cached lists at the first start; one line with the count; changes are logged by the VMs that follow the store.

--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -50,9 +50,11 @@
 """Seconds after an outage of the store in which entries of replicas, and of VMs, that have gone are
 kept. A VM whose lease has lapsed writes its entry again at its next renewal."""
 
+START_LISTS: Final = 4
 START_COLLECT_S: Final = 1.0
-"""Seconds, more or less by half, between the first list and a second one where all VMs start for
-the first time. Each would else watch the store to see the others come."""
+"""Lists, and seconds between two of them, more or less by half, where all VMs start for the first
+time and this one knows nobody to follow yet. Each would else watch the store to see the others
+come."""
 
 RETRY_FIRST_S: Final = 0.2
 RETRY_MOST_S: Final = 0.8
@@ -191,7 +193,7 @@
         self._reader: Final = reader
         self._listener: Final = listener
         self._mirror: Final = mirror
-        self._cached_lists = 2 if first_start else 1
+        self._cached_lists = START_LISTS if first_start else 1
         self._is_used: Final = is_used
         self._now: Final = now
         self._u: Final = u
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -237,6 +237,8 @@
 
     def on_listed(self) -> None:
         """Take that all that there is has been told."""
+        if not self._listed.is_set():
+            self._log.info("listed", extra={"replicas": len(self.book), "vms": len(self.vms)})
         self._listed.set()
 
     def on_told_cut_off(self, cut_off: bool, source: object) -> None:
@@ -276,21 +278,27 @@
         replica = change.replica
         if replica is None:
             self.book.remove(change.id)
-            self._log.info("replica gone", extra={"replica": change.id})
+            self._log_entry("replica gone", replica=change.id)
             return
         self.book.put(replica)
-        self._log.info(
+        self._log_entry(
             "replica announced",
-            extra={
-                "replica": replica.id,
-                "service": replica.service,
-                "data_centre": replica.data_centre,
-                "address": f"{replica.host}:{replica.port}",
-                "draining": replica.draining,
-                "cold_ms": replica.cold_ms,
-            },
+            replica=replica.id,
+            service=replica.service,
+            data_centre=replica.data_centre,
+            address=f"{replica.host}:{replica.port}",
+            draining=replica.draining,
+            cold_ms=replica.cold_ms,
         )
 
+    def _log_entry(self, message: str, **fields: object) -> None:
+        """Log one changed entry, on the VMs that follow the store for the others.
+
+        Each VM would else write 400 lines at its start, and 195 VMs a line each for every change.
+        """
+        if self._listed.is_set() and not self.vms.watchers():
+            self._log.info(message, extra=fields)
+
     def _note_cut_off(self, cut_off: bool) -> None:
         self._metrics.gauge(names.CUT_OFF, int(cut_off))
         self.mirror.set_cut_off(cut_off)
@@ -299,10 +307,8 @@
 
     def _take_vm(self, change: VmChange) -> None:
         self.vms.take(change)
-        self._log.info(
-            "VM announced" if change.vm is not None else "VM gone",
-            extra={"id": change.id, "vms": len(self.vms)},
-        )
+        message = "VM announced" if change.vm is not None else "VM gone"
+        self._log_entry(message, id=change.id, vms=len(self.vms))
 
     def _make_announcer(self, store: Store) -> VmAnnouncer | None:
         options = self._options
