--- a/libs/forwarding/berylspindle_forwarding/vm_announcer.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_announcer.py
@@ -52,8 +52,11 @@
 """Seconds before a call that failed is tried again: as many at first, then twice as many each time.
 Eighty VMs that try each second make four hundred calls of an outage of five seconds."""
 
-LOOK_S: Final = 1.0
-"""Seconds, more or less by half, between two looks of a VM without an entry at the others'."""
+LOOK_S: Final = 2.0
+"""Seconds, more or less by half, between two looks of a VM without an entry at the others; before
+the first one as many for a VM of one core, and more for a smaller one."""
+
+LEAST_BEARS: Final = 0.25
 
 MISSED_MOST: Final = 2
 """Renewals in a row at which the entry is not as it should be, before it is written again: what
@@ -131,7 +134,7 @@
 
     async def _until_needed(self) -> None:
         # The bigger VMs come first, and the others see them.
-        delay = LOOK_S / max(1.0, self._entry.bears)
+        delay = LOOK_S / max(LEAST_BEARS, self._entry.bears)
         while True:
             await asyncio.sleep(delay * (0.5 + self._u()))
             if self._is_needed():
