--- a/libs/forwarding/berylspindle_forwarding/forward_daemon.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_daemon.py
@@ -52,6 +52,10 @@
 LAST_PART: Final = 1.0
 """Seconds of the grace that are left for closing."""
 
+LEAVE_S: Final = 0.4
+"""Seconds for telling the store that this VM goes: a store that is silent would hold the process
+beyond its grace."""
+
 
 @attrs.frozen
 class Endpoint:
@@ -131,7 +135,11 @@
         self._stage("drain")
         await self._callers.close(max(0.1, ends - loop.time()))
         self._stage("close")
-        await self._forwarder.leave()
+        try:
+            async with asyncio.timeout(LEAVE_S):
+                await self._forwarder.leave()
+        except TimeoutError:
+            self._log.warning("not withdrawn", extra={"reason": "the store did not answer in time"})
         await self.close()
 
     async def close(self) -> None:
--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -29,6 +29,7 @@
 
 HOST = "lots.example"
 SHARDS = ("s1", "s2", "s3")
+GRACE_S = 5.0
 
 
 def configuration(version: int, **changes: object) -> dict[str, Any]:
@@ -262,6 +263,24 @@
         server.close()
 
 
+async def test_a_stop_ends_within_its_grace_while_the_store_is_silent(tmp_path: Path) -> None:
+    """Guards against a process that waits for the store until it is killed."""
+    async with open_platform(tmp_path) as platform:
+        await platform.until_ready()
+        async with asyncio.timeout(10):
+            while not any(key.startswith("berylspindle/vms/") for key in platform.kv.items):
+                await asyncio.sleep(0.05)
+        for replica in platform.replicas.values():
+            replica.behaviour.work = 30.0
+        platform.kv.outage = "silent"
+        platform.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(GRACE_S):
+            await asyncio.sleep(1.2)
+            asking = asyncio.create_task(platform.ask("/lots/1"))
+            assert await platform.process.wait() == 0
+        await asyncio.gather(asking, return_exceptions=True)
+
+
 async def test_on_sigterm_a_vm_is_unready_at_once_and_answers_all_that_comes(
     tmp_path: Path,
 ) -> None:
