--- a/libs/decisions/berylspindle_decisions/forward_policy.py
+++ b/libs/decisions/berylspindle_decisions/forward_policy.py
@@ -47,6 +47,8 @@
     minds_others: bool = True
     # Searches of small VMs go through bigger ones of their data centre; off, each does its own.
     relays: bool = True
+    # Shards without a replica near come as one answer of a VM near them; off, each comes alone.
+    subsets: bool = True
     # A service without a usable replica is waited for; off, its callers are told at once.
     is_patient: bool = True
 
--- a/libs/forwarding/berylspindle_forwarding/crash_watch.py
+++ b/libs/forwarding/berylspindle_forwarding/crash_watch.py
@@ -27,7 +27,7 @@
 from berylspindle_forwarding.replica_book import ReplicaHandle
 from berylspindle_forwarding.request_head import ForwardRequest
 from berylspindle_model import codec
-from berylspindle_model.errors import ErrorKind, Refusal, RunState
+from berylspindle_model.errors import Refusal, RunState
 from berylspindle_store.store import Store, StoreConflict, StoreError
 from berylspindle_telemetry.logs import logger
 
@@ -74,9 +74,8 @@
         mode = self._quarantine.decide(self._now(), fingerprint_of(request))
         if isinstance(mode, RunMode):
             return mode
-        # Told as a replica's absence: the request is proper, and may come back.
         wait_ms = mode.retry_after_ms or RETRY_AFTER_MS
-        return Refusal(ErrorKind.NO_REPLICA, mode.detail, RunState.NOT_RUN, retry_after_ms=wait_ms)
+        return Refusal(mode.kind, mode.detail, RunState.NOT_RUN, retry_after_ms=wait_ms)
 
     def answered(self, request: ForwardRequest) -> None:
         """Note that replicas ran a request and lived."""
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -49,6 +49,10 @@
 Callers reach a VM that is just starting because others are gone too; told to come back, they spend
 one of their few tries, and the table is there within some tenths of a second."""
 
+_STATUS: Final = {ErrorKind.QUARANTINED: 503}
+"""Statuses that differ from the table's: to these callers a 4xx says that a request is improper,
+and is the end of it."""
+
 _LEFT: Final = Refusal(ErrorKind.CANCELLED, "the caller went away")
 
 
@@ -312,7 +316,7 @@
         headers.append((b"retry-after", f"{refusal.retry_after / 1000:.3f}".encode()))
     answer = ANSWERS[refusal.kind]
     return HttpResponse(
-        status=answer.status,
+        status=_STATUS.get(refusal.kind, answer.status),
         body=f"{refusal.kind.value}: {answer.text}\n".encode(),
         headers={"content-type": "text/plain"},
         raw_headers=tuple(headers),
--- a/libs/forwarding/berylspindle_forwarding/relay.py
+++ b/libs/forwarding/berylspindle_forwarding/relay.py
@@ -171,6 +171,8 @@
 
     def choose_subset(self, shards: tuple[str, ...], in_flight: int) -> Subset | None:
         """Return who merges the shards that have no replica in this data centre, if anyone."""
+        if not self._policy.subsets:
+            return None
         far = self._book.far_positions(shards)
         if len(far) < LEAST_SUBSET or len(far) == len(shards):
             return None
--- a/libs/forwarding/berylspindle_forwarding/request_cause.py
+++ b/libs/forwarding/berylspindle_forwarding/request_cause.py
@@ -52,6 +52,7 @@
     ErrorKind.NOT_FOUND: Cause.NO_ROUTE,
     ErrorKind.SHUTTING_DOWN: Cause.STOPPING,
     ErrorKind.CANCELLED: Cause.CALLER_LEFT,
+    ErrorKind.QUARANTINED: Cause.CRASHES_REPLICAS,
 }
 
 _BY_VERDICT: Final = {
--- a/libs/model/berylspindle_model/causes.py
+++ b/libs/model/berylspindle_model/causes.py
@@ -38,6 +38,7 @@
     SLOW_REPLICA = "slow_replica"
     CALLER_LEFT = "caller_left"
     MERGER_LOST = "merger_lost"
+    CRASHES_REPLICAS = "crashes_replicas"
 
 
 @attrs.frozen
@@ -129,4 +130,8 @@
         "the bigger VM that carried the request out did not answer",
         "the VM that the line names as merger: whether it ran, and its line of the same request",
     ),
+    Cause.CRASHES_REPLICAS: CauseText(
+        "replicas that ran the same request before have crashed, so that it is not run for a while",
+        "'request crashes replicas' of any VM; the request, with whoever sends it",
+    ),
 }
