Ask for a subset by the version of the table that its route is of

A VM had passed a search to a merger next door, which answered that it had not begun it, for a new table had come; meanwhile the new table was in force here too, and the subset went out with the old route's positions and the new table's version, so that the other VM read them on the new shards.

A request now keeps the version of the table that its route was taken from. The test replaces the table while a merger is asked; without the change its answer lacks shards of the route. Ruled out: the merger's own check (it compares versions, which were equal).

--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -56,6 +56,31 @@
 _LEFT: Final = Refusal(ErrorKind.CANCELLED, "the caller went away")
 
 
+@attrs.frozen(kw_only=True)
+class Routed:
+    """One request and its route in one routing table.
+
+    The table in force may change while another VM is asked, so that its version is kept: another VM
+    reads the positions of shards by the table that they were taken from.
+    """
+
+    forward: ForwardRequest
+    route: Route
+    table_version: int
+    times: DriveTimes
+    waited_ms: float
+
+    @property
+    def relay_times(self) -> RelayTimes:
+        """Return the bounds of the request for another VM."""
+        return RelayTimes(
+            aim_cut=self.times.aim_cut,
+            aim=self.times.started + self.route.aim_ms / 1000,
+            deadline=self.times.deadline,
+            answer_by=self.times.answer_by,
+        )
+
+
 class Front:
     """Answer callers' forwarded requests."""
 
@@ -96,18 +121,27 @@
                 return _unrun(self._tools.dialect, forward)
             waited_ms = await self._await_table(forward) if self._table is None else 0.0
             route = self._route(forward)
-            if isinstance(route, Route) and forward.relayed is not None:
-                route = _subset_route(route, forward.relayed.shards)
             if isinstance(route, Refusal):
                 self._count("-", route.kind.value)
                 self._requests.tell(Ended(request=forward, outcome=route, table_wait_ms=waited_ms))
                 return refusal_reply(route, self._tools.dialect.request_id, forward.request_id)
-            times = drive_times(route, forward, started, is_first=request.is_first)
+            if forward.relayed is not None and forward.relayed.shards:
+                subset_route = _subset_route(route, forward.relayed.shards)
+                if subset_route is None:
+                    return _unrun(self._tools.dialect, forward)
+                route = subset_route
+            routed = Routed(
+                forward=forward,
+                route=route,
+                table_version=self._table.version if self._table is not None else 0,
+                times=drive_times(route, forward, started, is_first=request.is_first),
+                waited_ms=waited_ms,
+            )
             if route.shard_set is not None and forward.relayed is None:
-                passed = await self._passed_on(route, forward, times)
+                passed = await self._passed_on(routed)
                 if passed is not None:
                     return passed
-            return await self._drive(route, forward, times, waited_ms=waited_ms)
+            return await self._drive(routed)
         finally:
             self._in_flight -= 1
 
@@ -130,122 +164,113 @@
             return Refusal(ErrorKind.NOT_READY, retry_after_ms=NOT_READY_MS)
         return self._table.find(forward.host, forward.path) or Refusal(ErrorKind.NOT_FOUND)
 
-    async def _drive(
-        self,
-        route: Route,
-        forward: ForwardRequest,
-        times: DriveTimes,
-        *,
-        waited_ms: float,
-    ) -> HttpResponse:
+    async def _drive(self, routed: Routed) -> HttpResponse:
         """Carry a request out, and tell of its end."""
-        started = times.started
+        forward, id_header = routed.forward, self._tools.dialect.request_id
         mode = self._tools.crashes.mode(forward)
         if isinstance(mode, Refusal):
-            self._count(route.name, mode.kind.value)
-            self._requests.tell(Ended(request=forward, outcome=mode, route=route))
-            return refusal_reply(mode, self._tools.dialect.request_id, forward.request_id)
-        is_canary = mode is RunMode.CANARY
-        if is_canary:
-            route = attrs.evolve(route, max_replicas=1)
-        services = self._services(route)
-        subset = None if is_canary else self._subset(route, forward, times)
-        drive = ForwardDrive(
-            self._tools,
-            route,
-            forward,
-            services,
-            times,
-            subset,
-            canary=is_canary,
-            avoided=self._tools.crashes.crashed(forward) if is_canary else frozenset(),
-        )
+            self._count(routed.route.name, mode.kind.value)
+            self._requests.tell(Ended(request=forward, outcome=mode, route=routed.route))
+            return refusal_reply(mode, id_header, forward.request_id)
+        drive = self._canary(routed) if mode is RunMode.CANARY else self._plain_drive(routed)
         outcome: HttpResponse | Refusal = _LEFT
         try:
             outcome = await drive.run()
         finally:
             # A caller that leaves has this task cancelled; its request is told of all the same.
-            self._tell(route, forward, drive, outcome, started, waited_ms)
-            if is_canary:
+            self._tell(routed, drive, outcome)
+            if mode is RunMode.CANARY:
                 self._tools.crashes.unsettled(forward)
-        if not isinstance(outcome, Refusal):
-            self._tools.crashes.answered(forward)
         if isinstance(outcome, Refusal):
-            outcome = refusal_reply(outcome, self._tools.dialect.request_id, forward.request_id)
+            outcome = refusal_reply(outcome, id_header, forward.request_id)
+        else:
+            self._tools.crashes.answered(forward)
         if forward.relayed is not None:
             load = (RELAY_LOAD, b"%d" % self._in_flight)
             return attrs.evolve(outcome, raw_headers=(*outcome.raw_headers, load))
         return outcome
 
+    def _plain_drive(self, routed: Routed) -> ForwardDrive:
+        return ForwardDrive(
+            self._tools,
+            routed.route,
+            routed.forward,
+            self._services(routed.route),
+            routed.times,
+            self._subset(routed),
+        )
+
+    def _canary(self, routed: Routed) -> ForwardDrive:
+        """Return the drive of a suspected request: one replica a shard, and one shard first."""
+        route = attrs.evolve(routed.route, max_replicas=1)
+        return ForwardDrive(
+            self._tools,
+            route,
+            routed.forward,
+            self._services(route),
+            routed.times,
+            canary=True,
+            avoided=self._tools.crashes.crashed(routed.forward),
+        )
+
     def _may_merge(self, relayed: Relayed) -> bool:
         """Tell whether this VM carries out a request of another one: only by the same table."""
         return (
             self._may_begin() and self._table is not None and self._table.version == relayed.table
         )
 
-    def _subset(
-        self, route: Route, forward: ForwardRequest, times: DriveTimes
-    ) -> SubsetCall | None:
+    def _subset(self, routed: Routed) -> SubsetCall | None:
         """Return the shards of a search that another VM merges, if any."""
-        if route.shard_set is None or self._table is None:
-            return None
-        if forward.relayed is not None and forward.relayed.shards:
+        shard_set, relayed = routed.route.shard_set, routed.forward.relayed
+        if shard_set is None or (relayed is not None and relayed.shards):
             return None
-        subset = self._relay.choose_subset(route.shard_set.shards, self._in_flight)
+        subset = self._relay.choose_subset(shard_set.shards, self._in_flight)
         if subset is None:
             return None
         send = partial(
             self._relay.pass_on,
             subset.merger,
-            forward,
-            _relay_times(route, times),
-            table=self._table.version,
+            routed.forward,
+            routed.relay_times,
+            table=routed.table_version,
             positions=subset.positions,
         )
         return SubsetCall(positions=subset.positions, send=send)
 
-    async def _passed_on(
-        self, route: Route, forward: ForwardRequest, times: DriveTimes
-    ) -> HttpResponse | None:
+    async def _passed_on(self, routed: Routed) -> HttpResponse | None:
         """Return the answer of a bigger VM, or None where this one carries the request out."""
+        route, forward, started = routed.route, routed.forward, routed.times.started
         merger = self._relay.choose(route.services, self._in_flight)
-        if merger is None or self._table is None:
+        if merger is None:
             return None
         outcome = await self._relay.pass_on(
-            merger, forward, _relay_times(route, times), table=self._table.version
+            merger, forward, routed.relay_times, table=routed.table_version
         )
         if not isinstance(outcome, Refusal):
             return outcome
-        elapsed_ms = (self._tools.now() - times.started) * 1000
+        elapsed_ms = (self._tools.now() - started) * 1000
         self._count(route.name, outcome.kind.value)
-        story = RequestStory(times.started)
+        story = RequestStory(started)
         story.merger = merger
         self._requests.tell(
             Ended(request=forward, outcome=outcome, route=route, story=story, elapsed_ms=elapsed_ms)
         )
         return refusal_reply(outcome, self._tools.dialect.request_id, forward.request_id)
 
-    def _tell(
-        self,
-        route: Route,
-        forward: ForwardRequest,
-        drive: ForwardDrive,
-        outcome: HttpResponse | Refusal,
-        started: float,
-        waited_ms: float,
-    ) -> None:
-        elapsed_ms = (self._tools.now() - started) * 1000
+    def _tell(self, routed: Routed, drive: ForwardDrive, outcome: HttpResponse | Refusal) -> None:
+        route = routed.route
+        elapsed_ms = (self._tools.now() - routed.times.started) * 1000
         self._tools.metrics.observe(names.FORWARD_TIME, elapsed_ms, route=route.name)
         result = outcome if isinstance(outcome, Refusal) else outcome.status
         self._count(route.name, result.kind.value if isinstance(result, Refusal) else str(result))
         self._requests.tell(
             Ended(
-                request=forward,
+                request=routed.forward,
                 outcome=result,
                 route=route,
                 story=drive.story,
                 elapsed_ms=elapsed_ms,
-                table_wait_ms=waited_ms,
+                table_wait_ms=routed.waited_ms,
                 usual_ms=drive.usual_ms,
                 extra_left=drive.extra_left,
             )
@@ -293,29 +318,20 @@
     )
 
 
-def _subset_route(route: Route, positions: tuple[int, ...]) -> Route:
-    """Return the route of a search over some of its shards.
+def _subset_route(route: Route, positions: tuple[int, ...]) -> Route | None:
+    """Return the route of a search over some of its shards; None where it has no such shards.
 
     All that may be missing of the whole may be missing here.
     """
     shard_set = route.shard_set
-    if shard_set is None or not positions:
-        return route
-    shards = tuple(shard_set.shards[n] for n in positions if n < len(shard_set.shards))
+    if shard_set is None or max(positions) >= len(shard_set.shards):
+        return None
+    shards = tuple(shard_set.shards[n] for n in positions)
     least = max(1, shard_set.least - (len(shard_set.shards) - len(shards)))
     subset = attrs.evolve(shard_set, shards=shards, least_share=least / len(shards))
     return attrs.evolve(route, shard_set=subset)
 
 
-def _relay_times(route: Route, times: DriveTimes) -> RelayTimes:
-    return RelayTimes(
-        aim_cut=times.aim_cut,
-        aim=times.started + route.aim_ms / 1000,
-        deadline=times.deadline,
-        answer_by=times.answer_by,
-    )
-
-
 def refusal_reply(refusal: Refusal, id_header: bytes, request_id: bytes) -> HttpResponse:
     """Return the response that tells a caller of a refusal, with its own id for the request."""
     headers: list[tuple[bytes, bytes]] = []
--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -152,6 +152,33 @@
         assert sum(there.runs().values()) == 12
 
 
+async def test_a_subset_is_asked_for_by_the_table_that_its_route_is_of() -> None:
+    """Guards against an answer with shards of two configurations.
+
+    The VM next door says that it has not begun a search, for a new table has come; both VMs that
+    carry it out have the new one by then, and the route's shards are of the old one.
+    """
+    async with halves() as (here, there):
+        other = tuple(reversed(TWELVE))
+
+        async def replace(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            for site in (here, there):
+                site.route(merged_route(other, least=0.9))
+            writer.write(b"HTTP/1.1 503 -\r\nx-relay-unrun: 1\r\ncontent-length: 0\r\n\r\n")
+
+        server = await asyncio.start_server(replace, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        entry = VmEntry(host="127.0.0.1", port=1, data_centre="a", callers_port=port, bears=9.0)
+        here.forwarder.on_change(VmChange("next", entry))
+        path = "/lots/1"
+        told = await here.ask(path)
+        assert told.body == greatest([answer_body(shard, path) for shard in TWELVE], 5)
+        signed = told.headers[DIALECT.parts.decode()].split(", ")
+        assert len({signature.partition(".")[0] for signature in signed}) == 12
+        server.close()
+
+
 async def test_shards_that_a_merger_lacks_are_counted_as_missing() -> None:
     """Guards against an answer that claims parts which another VM did not get."""
     async with halves() as (here, there):
