Let the test of a subset's table reach the subset

As committed it passed without the change too: the VM that should merge the subset was not big enough beside the third one, and was never asked. Now it fails without the change (duplicate shards).

--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 
+import attrs
 import pytest
 from forward_site import DIALECT, Site, merged_route, open_site, plain_route
 
@@ -171,6 +172,8 @@
         port = server.sockets[0].getsockname()[1]
         entry = VmEntry(host="127.0.0.1", port=1, data_centre="a", callers_port=port, bears=9.0)
         here.forwarder.on_change(VmChange("next", entry))
+        far = attrs.evolve(entry, data_centre="b", callers_port=there.server.port)
+        here.forwarder.on_change(VmChange("there", far))
         path = "/lots/1"
         told = await here.ask(path)
         assert told.body == greatest([answer_body(shard, path) for shard in TWELVE], 5)
