Share lost answers between VMs, for requests that may not be repeated

Change: followers tell watchers the replicas that lost answers within 5 s, watchers tell followers and each other with the reads and probes that there are; what may not be repeated avoids them.

--- a/libs/decisions/berylspindle_decisions/forward_policy.py
+++ b/libs/decisions/berylspindle_decisions/forward_policy.py
@@ -49,6 +49,8 @@
     relays: bool = True
     # Shards without a replica near come as one answer of a VM near them; off, each comes alone.
     subsets: bool = True
+    # What may not be repeated avoids replicas that lost answers of any VM; off, of this one alone.
+    shares_losses: bool = True
     # A service without a usable replica is waited for; off, its callers are told at once.
     is_patient: bool = True
 
--- a/libs/forwarding/berylspindle_forwarding/attempt_guide.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_guide.py
@@ -148,9 +148,11 @@
         """Return the replica for an attempt, or None."""
         if hedge and not self._tools.policy.hedges:
             return None
-        handle = self._tools.book.pick(service, tried=tried | self._avoided, hedge=hedge)
+        once = not self._route.repeatable
+        avoided = tried | self._avoided
+        handle = self._tools.book.pick(service, tried=avoided, hedge=hedge, once=once)
         if handle is None and self._avoided:
-            handle = self._tools.book.pick(service, tried=tried, hedge=hedge)
+            handle = self._tools.book.pick(service, tried=tried, hedge=hedge, once=once)
         return handle.replica.id if handle is not None else None
 
     def may_take_extra(self, service: str, *, hedge: bool) -> bool:
@@ -222,6 +224,8 @@
             )
             self._tools.book.set_misplaced(attempt.handle)
         else:
+            if verdict is ReplyClass.FOREIGN:
+                self._tools.book.losses.lost(now, attempt.handle.replica.id)
             self._note_failed(now, attempt, verdict.value)
 
     def note_end(self, now: float, attempt: Attempt, end: ExchangeEnd) -> None:
@@ -229,6 +233,8 @@
         self._tools.metrics.count(names.FORWARD_REPLIES, kind=end.kind.value)
         if end.kind is EndKind.NOT_SENT:
             attempt.handle.standing.withdrawn(attempt)
+        else:
+            self._tools.book.losses.lost(now, attempt.handle.replica.id)
         self._note_failed(now, attempt, f"{end.kind.value} {end.detail}")
 
     def _note_failed(self, now: float, attempt: Attempt, what: str) -> None:
--- a/libs/forwarding/berylspindle_forwarding/follow_choice.py
+++ b/libs/forwarding/berylspindle_forwarding/follow_choice.py
@@ -92,13 +92,15 @@
         watchers: Callable[[], tuple[MirrorAddress, ...]] = tuple,
         vms_here: Callable[[], int] = lambda: 1,
         introduction: Callable[[], dict[str, str]] = dict,
+        on_losses: Callable[[dict[str, int]], None] = lambda losses: None,
     ) -> None:
         """Take also what returns the watchers to follow, none where this VM is one itself.
 
         `vms_here` returns how many VMs the data centre has; `introduction` what a mirror is told of
-        this one.
+        this one, and `on_losses` takes what it says of replicas that lost answers.
         """
         self._introduction: Final = introduction
+        self._on_losses: Final = on_losses
         self._vms_here: Final = vms_here
         self._watchers: Final = watchers
         self._store_try_at = 0.0
@@ -192,7 +194,12 @@
         return Followed(self._current[1], PROBE_WAIT_S if doubted else MIRROR_WAIT_S, True)
 
     def _open(self, address: MirrorAddress) -> MirrorStore:
-        return MirrorStore(address.host, address.port, introduction=self._introduction)
+        return MirrorStore(
+            address.host,
+            address.port,
+            introduction=self._introduction,
+            on_losses=self._on_losses,
+        )
 
     def _mirror(self) -> MirrorStore | None:
         if self._current is not None:
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -38,13 +38,14 @@
 from berylspindle_forwarding.dialect import Dialect
 from berylspindle_forwarding.follow_choice import FollowChoice, MirrorAddress
 from berylspindle_forwarding.front import Front
-from berylspindle_forwarding.mirror import Mirror
+from berylspindle_forwarding.mirror import Mirror, pack_losses
 from berylspindle_forwarding.outside import Outside
 from berylspindle_forwarding.relay import Relay
 from berylspindle_forwarding.replica_book import ColdBounds, ReplicaBook
 from berylspindle_forwarding.replica_pool import PoolOptions
 from berylspindle_forwarding.vm_announcer import VmAnnouncer
 from berylspindle_forwarding.vm_book import VmBook
+from berylspindle_forwarding.vm_probe import Prober
 from berylspindle_model.errors import ErrorKind, Refusal
 from berylspindle_store.store import Store
 from berylspindle_telemetry import metric_names as names
@@ -152,10 +153,12 @@
             vms=lambda: self.vms.entries,
             table=lambda: self.front.table,
             watches=lambda: not self.vms.watchers(),
+            prober=Prober(self._introduction, self._on_losses),
             now=loop.time,
             on_change=self._note_cut_off,
         )
         self.mirror: Final = Mirror(loop.time)
+        self.mirror.losses = self.book.losses
         self._choice: Final = FollowChoice(
             store,
             mirrors=self.vms.mirrors,
@@ -164,6 +167,7 @@
             watchers=self.vms.watchers,
             vms_here=self.vms.size_here,
             introduction=self._introduction,
+            on_losses=self._on_losses,
         )
         self._catalogue: Final = Catalogue(
             self._choice,
@@ -336,9 +340,17 @@
 
     def _introduction(self) -> dict[str, str]:
         """Return what the VM that this one follows is told of it."""
-        if self._announcer is None or self._announcer.is_announced:
-            return {}
-        return {"follower": self._options.vm, "bears": f"{self._options.bears:.3f}"}
+        told: dict[str, str] = {}
+        if losses := self.book.losses.report(asyncio.get_running_loop().time()):
+            told["losses"] = pack_losses(losses)
+        if self._announcer is not None and not self._announcer.is_announced:
+            told |= {"follower": self._options.vm, "bears": f"{self._options.bears:.3f}"}
+        return told
+
+    def _on_losses(self, losses: dict[str, int]) -> None:
+        """Take the losses that another VM reports."""
+        if self._options.policy.shares_losses:
+            self.book.losses.merge(asyncio.get_running_loop().time(), losses)
 
     def _may_begin(self) -> bool:
         """Tell whether this VM takes work of other VMs."""
--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -19,12 +19,13 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final, TypeVar
 
 import attrs
 
 from berylspindle_decisions.follower_count import FollowerCount
+from berylspindle_decisions.loss_reports import LossReports
 from berylspindle_model import codec
 from berylspindle_store.store import (
     Lease,
@@ -76,7 +77,8 @@
 class MirrorChanges:
     """What changed after a revision; `compacted` where the mirror no longer knows.
 
-    `cut_off` says that its VM reaches no other data centre and needs one.
+    `cut_off` says that its VM reaches no other data centre and needs one; `losses` are replicas
+    that have lost answers, with ages in milliseconds (`decisions.loss_reports`).
     """
 
     revision: int
@@ -84,6 +86,7 @@
     compacted: bool
     settling_ms: int = 0
     cut_off: bool = False
+    losses: dict[str, int] = attrs.field(factory=dict)
     entries: tuple[StoredValue, ...] = ()
 
 
@@ -101,6 +104,7 @@
         self._settled_at = 0.0
         self._cut_off = False
         self.followers: Final = FollowerCount()
+        self.losses = LossReports()
 
     @property
     def revision(self) -> int:
@@ -162,6 +166,8 @@
                 )
             )
         if request.path == WATCH_PATH:
+            if losses := request.query.get("losses"):
+                self.losses.merge(self._now(), unpack_losses(losses))
             if follower := request.query.get("follower"):
                 bears = float(request.query.get("bears", "0"))
                 self.followers.seen(self._now(), follower, bears=bears)
@@ -185,6 +191,7 @@
             compacted=compacted,
             settling_ms=self._settling_ms(),
             cut_off=self._cut_off,
+            losses=self.losses.report(self._now()),
             entries=(
                 ()
                 if compacted
@@ -218,9 +225,15 @@
     """
 
     def __init__(
-        self, host: str, port: int, *, introduction: Callable[[], dict[str, str]] = dict
+        self,
+        host: str,
+        port: int,
+        *,
+        introduction: Callable[[], dict[str, str]] = dict,
+        on_losses: Callable[[dict[str, int]], None] = lambda losses: None,
     ) -> None:
         self._introduction: Final = introduction
+        self._on_losses: Final = on_losses
         limits = HttpLimits(body_bytes=MOST_BYTES)
         self._client: Final = HttpClient(host, port, limit=2, connect_timeout=0.5, limits=limits)
         self.behind_ms = 0
@@ -249,9 +262,16 @@
         )
         self.behind_ms, self.settling_ms = told.behind_ms, told.settling_ms
         self.cut_off = told.cut_off
+        self._on_losses(told.losses)
         found = tuple(entry for entry in told.entries if entry.key.startswith(prefix))
         return WatchResult(revision=told.revision, entries=found, compacted=told.compacted)
 
+    async def probe(self, timeout: float) -> None:
+        """Ask for nothing but an answer within `timeout` seconds. Raises StoreAway."""
+        query = {"after": "0", "wait": "0", **self._introduction()}
+        told: MirrorChanges = await self._get(WATCH_PATH, query, timeout, MirrorChanges)
+        self._on_losses(told.losses)
+
     async def get(self, key: str) -> StoredValue | None:
         """Mirrors are listed and watched only."""
         raise StoreAway("a mirror is listed and watched only")
@@ -285,3 +305,14 @@
             return codec.from_pack(response.body, kind)
         except codec.MalformedError as error:
             raise StoreAway(f"mirror: {error}") from error
+
+
+def pack_losses(losses: Mapping[str, int]) -> str:
+    """Return a report of losses as it stands in a query."""
+    return ",".join(f"{replica}:{age_ms}" for replica, age_ms in losses.items())
+
+
+def unpack_losses(text: str) -> dict[str, int]:
+    """Return the report that `pack_losses` has packed, without what can't be read."""
+    pairs = (part.rpartition(":") for part in text.split(","))
+    return {replica: int(age) for replica, _, age in pairs if replica and age.isdecimal()}
--- a/libs/forwarding/berylspindle_forwarding/outside.py
+++ b/libs/forwarding/berylspindle_forwarding/outside.py
@@ -57,13 +57,14 @@
         vms: Callable[[], tuple[VmEntry, ...]],
         table: Callable[[], RoutingTable | None],
         watches: Callable[[], bool],
+        prober: Prober,
         now: Callable[[], float],
         on_change: Callable[[bool], None],
     ) -> None:
         """Take also whether this VM probes while all is well."""
         self._watches: Final = watches
         self._watch_at = 0.0
-        self._prober: Final = Prober()
+        self._prober: Final = prober
         self._reach: Final = reach
         self._book: Final = book
         self._data_centre: Final = data_centre
@@ -131,7 +132,7 @@
     async def _watch(self) -> None:
         """Probe a few data centres, and others of their VMs as long as none answers."""
         peers = self._peers()
-        watched = sorted(peers)[:WATCHED]
+        watched = random.sample(sorted(peers), min(WATCHED, len(peers)))
         for _ in range(TRIES):
             heard = await self._probe({name: peers[name] for name in watched})
             if heard or not watched:
--- a/libs/forwarding/berylspindle_forwarding/replica_book.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_book.py
@@ -25,6 +25,7 @@
 import attrs
 
 from berylspindle_decisions.forward_policy import ForwardPolicy
+from berylspindle_decisions.loss_reports import LossReports
 from berylspindle_decisions.reach import Reach
 from berylspindle_decisions.replica_standing import STALLED, Standing
 from berylspindle_forwarding.replica_pool import PoolOptions, ReplicaPool, RetiredPools
@@ -39,6 +40,11 @@
 know of each other yet."""
 
 
+LOSSY_COST: Final = 10.0
+"""What a replica that lost answers costs a request that may not be repeated, in usual latencies:
+less than one that answers nothing, more than any queue that is worth waiting in."""
+
+
 @attrs.frozen(kw_only=True)
 class ColdBounds:
     """What all VMs together may send to a cold replica a second: rate by overshoot, and slack."""
@@ -101,6 +107,7 @@
         self._out: frozenset[str] = frozenset()
         self._table: RoutingTable | None = None
         self._retired: Final = RetiredPools()
+        self.losses: Final = LossReports()
 
     def __len__(self) -> int:
         return len(self._handles)
@@ -195,9 +202,13 @@
         """Tell whether a service has a usable replica in this VM's data centre."""
         return self.holds(self._data_centre, service)
 
-    def pick(self, service: str, *, tried: frozenset[str], hedge: bool) -> ReplicaHandle | None:
+    def pick(
+        self, service: str, *, tried: frozenset[str], hedge: bool, once: bool = False
+    ) -> ReplicaHandle | None:
         """Return the replica of least cost that was not tried, or None.
 
+        With `once` the request may not be repeated, and avoids replicas that lost answers.
+
         A hedge only goes to a replica that answers just now and has a free slot: elsewhere it would
         wait beside the first attempt, and make all that wait there later. A replica in a dark data
         centre counts as stalled, though it was not asked itself; while this VM is cut off it is not
@@ -216,6 +227,8 @@
                     continue
                 if self._reach.is_dark(now, handle.replica.data_centre):
                     cost += STALLED
+            if once and self.losses.is_lossy(now, handle.replica.id):
+                cost += LOSSY_COST
             if cost < best_cost:
                 best, best_cost = handle, cost
         if hedge and best_cost >= STALLED:
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -7,8 +7,10 @@
 import pytest
 from forward_site import DIALECT, HOST, open_site, plain_route
 
+from berylspindle_forwarding.vm_probe import Prober
 from berylspindle_model.routing import ServiceRules, WeightedService
 from berylspindle_standins.forward_replica import Spoil, answer_body, signature_of
+from berylspindle_wire.http_server import serve
 
 NOT_RUN = {429, 503}
 
@@ -288,3 +290,22 @@
         assert (await site.ask("/booking/second", left_ms=2000)).status == 200
         assert (await first).status == 200
         assert only.counts.times_left[-1] <= 1500
+
+
+async def test_what_may_not_be_repeated_avoids_a_replica_that_lost_an_answer_elsewhere() -> None:
+    """Guards against a lost booking at each VM for each replica that loses answers."""
+    async with open_site() as site, open_site(vm="vm-2") as other:
+        lossy = await site.replica("lossy", "booking")
+        lossy.behaviour.spoil, lossy.behaviour.spoiled = Spoil.LOST, 100
+        for one in (site, other):
+            one.route(plain_route())
+        assert (await site.ask("/booking/1", method="POST")).status == 502
+        other.announce(lossy)
+        other.announce(await site.replica("sound", "booking"))
+        mirror = await serve(site.forwarder.mirror.answer, host="127.0.0.1", port=0)
+        prober = Prober(other.forwarder._introduction, other.forwarder._on_losses)
+        assert await prober.answers("127.0.0.1", mirror.port, timeout=1.0)
+        told = [await other.ask(f"/booking/{n}", method="POST") for n in range(20)]
+        assert {one.status for one in told} == {200}
+        await prober.close()
+        await mirror.close(0.0)
