--- a/libs/forwarding/berylspindle_forwarding/relay.py
+++ b/libs/forwarding/berylspindle_forwarding/relay.py
@@ -9,14 +9,14 @@
 merger takes callers, with two headers more, and returns the answer, a refusal, or None where the
 merger has surely not begun it. The merger never passes it on again.
 
-A merger that is late is probed: mostly it waits for a slow shard. One that doesn't answer the probe
-either is lost, and the caller is told at once, while it still has the time to try again.
+A merger that is late is probed; one that doesn't answer the probe either is lost, and the caller is
+told at once, while it still has the time to try again.
 
 Guards: a merger that routes by another table could answer by an older configuration than the
 origin's callers have seen the effect of; it says `unrun` where its table is not the origin's. A
 merger that falls silent may have run the request, and a second fan-out beside it would run it on
-more replicas than the route allows. So a request that is lost with its merger fails, and nothing
-more is sent there for a while.
+more replicas than the route allows. So nothing more is sent to one that is late, and a request that
+is lost with it fails.
 """
 
 from __future__ import annotations
@@ -312,7 +312,7 @@
         return found
 
     def _on_late(self, merger: str, vm: VmEntry, pool: ReplicaPool, passed: _Passed) -> None:
-        self._metrics.count(names.FORWARD_RELAYED, result="late")
+        self._doubt(merger, "late", long=False)
         probe = asyncio.get_running_loop().create_task(self._probe(vm, pool, passed))
         self._probes.add(probe)
         probe.add_done_callback(self._probes.discard)
