Look at the watchers once more before a follower follows the store

Change: after a first try that works a follower looks at its watchers again within a second (sooner in a small data centre), and leaves them only where they still lag.

--- a/libs/forwarding/berylspindle_forwarding/follow_choice.py
+++ b/libs/forwarding/berylspindle_forwarding/follow_choice.py
@@ -36,6 +36,13 @@
 least so many, and so many for each VM of its data centre, so that all of them together ask four
 times a second at most. The watchers ask the store themselves."""
 
+TRIES_BEFORE_STORE: Final = 2
+RECHECK_PER_VM_S: Final = 0.03
+RECHECK_MOST_S: Final = 1.0
+"""Tries of the store that have to work before a follower leaves its watchers for it, and seconds
+between them, for each VM of the data centre and at most: where an outage has just ended for all,
+the watchers are in step again within one, and hundreds of followers on the store are a price."""
+
 STOPGAP_WAIT_S: Final = 0.3
 """Seconds that a watch of any VM's mirror waits: it may lag itself, and others are to be tried."""
 
@@ -106,6 +113,7 @@
         self._store_try_at = 0.0
         self._store_until = 0.0
         self._is_try = False
+        self._tries = 0
         self._store: Final = store
         self._mirrors: Final = mirrors
         self._now: Final = now
@@ -144,12 +152,13 @@
             self._away = False
             if self._is_try:
                 self._is_try = False
-                self._store_until = self._now() + PASSED_OVER_S
+                self._note_try()
             await self._leave()
         elif followed.behind_ms:
             await self._pass_over()
         elif self._current is not None:
             self._passed_over.pop(self._current[0], None)
+            self._tries = 0
 
     async def failed(self, followed: Followed) -> None:
         """Note that a call was not answered."""
@@ -193,6 +202,17 @@
         doubted = address in known and address in self._passed_over
         return Followed(self._current[1], PROBE_WAIT_S if doubted else MIRROR_WAIT_S, True)
 
+    def _note_try(self) -> None:
+        """Look at the watchers once more after a first try that worked; then follow the store."""
+        self._tries += 1
+        if self._tries >= TRIES_BEFORE_STORE:
+            self._tries = 0
+            self._store_until = self._now() + PASSED_OVER_S
+            return
+        self._passed_over.clear()
+        pause = min(RECHECK_MOST_S, RECHECK_PER_VM_S * self._vms_here())
+        self._store_try_at = self._now() + pause * (0.5 + self._dice.random())
+
     def _open(self, address: MirrorAddress) -> MirrorStore:
         return MirrorStore(
             address.host,
--- a/tests/forwarding/test_watchers.py
+++ b/tests/forwarding/test_watchers.py
@@ -370,6 +370,37 @@
     await choice.close()
 
 
+async def test_followers_stay_with_watchers_that_are_in_step_soon_after_an_outage() -> None:
+    """Guards against hundreds of VMs on the store for seconds after each outage."""
+    clock = [0.0]
+    one, two = MirrorAddress("127.0.0.1", 1, True), MirrorAddress("127.0.0.1", 2, True)
+    calls = 0
+    for seed in range(30):
+        clock[0] = 0.0
+        choice = FollowChoice(
+            NoStore(),
+            mirrors=lambda: (one, two),
+            now=lambda: clock[0],
+            dice=random.Random(seed),
+            watchers=lambda: (one, two),
+            vms_here=lambda: 33,
+        )
+        while clock[0] < 12.0:
+            followed = choice.pick()
+            if followed.is_mirror:
+                # The store is away for four seconds; the watchers lag for a second more.
+                followed.store.behind_ms = 500 if clock[0] < 5.0 else 0  # type: ignore[attr-defined]
+                await choice.worked(followed)
+            elif clock[0] < 4.0:
+                await choice.failed(followed)
+            else:
+                calls += 1
+                await choice.worked(followed)
+            clock[0] += 0.3
+        await choice.close()
+    assert calls <= 10
+
+
 @pytest.mark.parametrize("lag", [0, 500])
 async def test_a_watcher_that_says_that_it_lags_is_passed_over(lag: int) -> None:
     one, two = MirrorAddress("127.0.0.1", 1, True), MirrorAddress("127.0.0.1", 2, True)
