--- a/libs/bench/berylspindle_bench/capacity.py
+++ b/libs/bench/berylspindle_bench/capacity.py
@@ -1,4 +1,4 @@
-"""Write the tables of docs/CAPACITY.md from measured slopes.
+"""Write the tables of slopes in docs/MEASUREMENTS.md.
 
 Terms:
   plan     the size to design for, `PLAN`
--- a/libs/bench/berylspindle_bench/main.py
+++ b/libs/bench/berylspindle_bench/main.py
@@ -65,7 +65,7 @@
 
 
 @app.command
-def capacity(*, page: Path = Path("docs/CAPACITY.md")) -> int:
+def capacity(*, page: Path = Path("docs/MEASUREMENTS.md")) -> int:
     """Measure the slopes of each part and write the tables of the page on capacity.
 
     Args:
