--- a/libs/bench/berylspindle_bench/forward_model.py
+++ b/libs/bench/berylspindle_bench/forward_model.py
@@ -5,8 +5,8 @@
 
 Flow: `run_pattern` starts a world of shards, replicas and VMs that share nothing but the replicas;
 callers send at random times, come back once when they are refused, and are counted by second.
-Standing, latency profiles, hedge times, the extra share, races, the gate and the verdict on parts
-are those of the forwarding path; sockets, connections and the way between VMs are left out.
+Replica health, latency profiles, hedge delays, retry budgets, attempts, admission and the verdict
+on parts are those of the forwarding path; sockets and the network between VMs are left out.
 """
 
 from __future__ import annotations
@@ -21,6 +21,13 @@
 
 from berylspindle_bench.event_clock import EventClock
 from berylspindle_bench.forward_callers import KINDS, Caller, Pattern
+from berylspindle_decisions.admission_controller import (
+    AdmissionController,
+    AdmissionRequest,
+    added_ms_of,
+    pressure_of,
+    return_after_ms,
+)
 from berylspindle_decisions.answer_time import (
     MARGIN_MS,
     HedgeTimes,
@@ -28,26 +35,19 @@
     hedge_times,
     parts_verdict,
 )
-from berylspindle_decisions.attempt_race import (
+from berylspindle_decisions.forward_policy import ForwardPolicy
+from berylspindle_decisions.hedged_request import (
     AttemptEnd,
-    AttemptRace,
+    AttemptPolicy,
+    AttemptRecord,
     GiveUp,
-    RaceAttempt,
-    RaceGuide,
-    RaceState,
+    HedgedRequest,
+    RequestState,
     SendTo,
 )
-from berylspindle_decisions.extra_share import ExtraBounds, ExtraShare
-from berylspindle_decisions.forward_policy import ForwardPolicy
 from berylspindle_decisions.latency_profile import LatencyProfile
-from berylspindle_decisions.overload_gate import (
-    GateRequest,
-    OverloadGate,
-    added_ms_of,
-    pressure_of,
-    return_after_ms,
-)
-from berylspindle_decisions.replica_standing import STALLED, Standing
+from berylspindle_decisions.replica_health import STALLED, ReplicaHealth
+from berylspindle_decisions.shared_retry_budget import SharedBudgetOptions, SharedRetryBudget
 
 SHARDS: Final = 10
 REPLICAS: Final = 3
@@ -61,7 +61,7 @@
 PAUSE_S: Final = 0.12
 PAUSE_EACH_S: Final = 3.0
 SPREAD: Final = 0.35
-PATIENCE_S: Final = 0.25
+NO_REPLICA_WAIT_S: Final = 0.25
 
 
 @attrs.frozen(kw_only=True)
@@ -76,7 +76,7 @@
 class _Attempt:
     drive: _Drive
     index: int
-    record: RaceAttempt
+    record: AttemptRecord
     explained: float
     work_ms: float
 
@@ -89,10 +89,10 @@
         self._queue: Final[deque[_Attempt]] = deque()
         self._running = 0
         self._paused_until = 0.0
-        pattern, dice = world.pattern, world.dice
-        self._slow = pattern.slow_factor if dice.random() < pattern.slow_share else 1.0
-        self._speed = dice.choice((0.8, 1.0, 1.3))
-        world.clock.after(dice.random() * PAUSE_EACH_S, self._pause)
+        pattern, rng = world.pattern, world.rng
+        self._slow = pattern.slow_factor if rng.random() < pattern.slow_share else 1.0
+        self._speed = rng.choice((0.8, 1.0, 1.3))
+        world.clock.after(rng.random() * PAUSE_EACH_S, self._pause)
 
     def take(self, attempt: _Attempt) -> None:
         """Take a request that has just arrived."""
@@ -132,17 +132,19 @@
     """What one VM knows."""
 
     def __init__(self, world: World) -> None:
-        self.standings: Final = {
-            name: Standing(slots=SLOTS, is_local=False, policy=world.variant.policy)
+        self.healths: Final = {
+            name: ReplicaHealth(slots=SLOTS, is_local=False, policy=world.variant.policy)
             for name in world.replicas
         }
         self.profiles: Final = {kind.name: LatencyProfile() for kind in KINDS}
         self.unqueued: Final = {kind.name: LatencyProfile() for kind in KINDS}
-        self.shares: Final = [ExtraShare(ExtraBounds(), started=-60.0) for _ in range(SHARDS)]
-        self.gate: Final = OverloadGate(world.variant.policy)
+        self.shares: Final = [
+            SharedRetryBudget(SharedBudgetOptions(), started=-60.0) for _ in range(SHARDS)
+        ]
+        self.gate: Final = AdmissionController(world.variant.policy)
 
 
-class _Drive(RaceGuide):
+class _Drive(AttemptPolicy):
     """One try of a caller at one VM."""
 
     def __init__(self, world: World, vm: _Vm, caller: Caller) -> None:
@@ -154,11 +156,11 @@
         self._deadline: Final = caller.born + caller.kind.deadline_ms / 1000
         self._aim_cut: Final = now + (caller.kind.aim_ms - MARGIN_MS) / 1000
         self._races: Final = [
-            AttemptRace(
+            HedgedRequest(
                 str(shard),
                 repeatable=True,
                 most_runs=2,
-                patient_until=now + PATIENCE_S,
+                wait_until=now + NO_REPLICA_WAIT_S,
                 deadline=self._deadline,
             )
             for shard in range(SHARDS)
@@ -186,12 +188,12 @@
         if hedge and not policy.hedges:
             return None
         for name in self._world.names[int(service)]:
-            standing = self._vm.standings[name]
+            health = self._vm.healths[name]
             if name in tried:
                 continue
-            if hedge and policy.spares_queues and not standing.has_free_slot(now):
+            if hedge and policy.hedge_idle_only and not health.has_free_slot(now):
                 continue
-            cost = standing.cost(now, u=self._world.dice.random())
+            cost = health.cost(now, u=self._world.rng.random())
             if cost < best_cost:
                 best, best_cost = name, cost
         return None if hedge and best_cost >= STALLED else best
@@ -211,8 +213,8 @@
     def answered(self, attempt: _Attempt, running: int, waiting: int) -> None:
         """Take an answer with the replica's report."""
         now, race = self._world.clock.now, self._races[attempt.index]
-        standing = self._vm.standings[attempt.record.replica]
-        standing.reported(now, running=running, waiting=waiting, slots=SLOTS)
+        health = self._vm.healths[attempt.record.replica]
+        health.reported(now, running=running, waiting=waiting, slots=SLOTS)
         elapsed_ms = (now - attempt.record.sent_at) * 1000
         profile, unqueued = (
             self._vm.profiles[self._kind.name],
@@ -222,8 +224,8 @@
         profile.add(elapsed_ms)
         if attempt.explained <= 1.0 or not unqueued.known:
             unqueued.add(elapsed_ms)
-        standing.answered(now, attempt, ratio=elapsed_ms / max(usual * attempt.explained, 0.1))
-        if race.state is not RaceState.WON:
+        health.answered(now, attempt, ratio=elapsed_ms / max(usual * attempt.explained, 0.1))
+        if race.state is not RequestState.WON:
             race.answered(attempt.record)
             self._parts.add(attempt.index)
         self._settle()
@@ -231,10 +233,10 @@
     def refused(self, attempt: _Attempt) -> None:
         """Take that a replica's queue is full."""
         now = self._world.clock.now
-        self._vm.standings[attempt.record.replica].refused(now, attempt)
+        self._vm.healths[attempt.record.replica].refused(now, attempt)
         race = self._races[attempt.index]
         race.ended(now, attempt.record, AttemptEnd.NOT_RUN, refused=True)
-        if not self._done and race.state is RaceState.OPEN:
+        if not self._done and race.state is RequestState.OPEN:
             self._step(attempt.index)
             self._settle()
 
@@ -242,27 +244,27 @@
         unqueued = self._vm.unqueued[self._kind.name]
         usual = unqueued.quantile(0.5) if unqueued.known else 0.0
         added = [
-            added_ms_of(map(self._vm.standings.__getitem__, names), now, usual_ms=usual)
+            added_ms_of(map(self._vm.healths.__getitem__, names), now, usual_ms=usual)
             for names in self._world.names
         ]
-        request = GateRequest(
+        request = AdmissionRequest(
             group="shards",
             priority=self._kind.priority,
             pressure=pressure_of(
                 added, least=self._kind.least, aim_ms=(self._aim_cut - now) * 1000
             ),
         )
-        if self._vm.gate.admits(now, request, u=self._world.dice.random()):
+        if self._vm.gate.admits(now, request, u=self._world.rng.random()):
             return True
         left_ms = (self._deadline - now) * 1000
-        wait = return_after_ms(added_ms=max(added), left_ms=left_ms, u=self._world.dice.random())
+        wait = return_after_ms(added_ms=max(added), left_ms=left_ms, u=self._world.rng.random())
         if self._caller.tries < 2:
             self._world.clock.after(wait / 1000, lambda: self._world.send(self._caller))
         return False
 
     def _step(self, index: int) -> None:
         race = self._races[index]
-        while race.state is RaceState.OPEN and not self._done:
+        while race.state is RequestState.OPEN and not self._done:
             step = race.step(self._world.clock.now, self)
             if isinstance(step, SendTo):
                 self._send(index, step.replica)
@@ -274,18 +276,18 @@
             return
 
     def _on_timer(self, index: int) -> None:
-        if not self._done and self._races[index].state is RaceState.OPEN:
+        if not self._done and self._races[index].state is RequestState.OPEN:
             self._step(index)
             self._settle()
 
     def _send(self, index: int, name: str) -> None:
-        now, standing = self._world.clock.now, self._vm.standings[name]
+        now, health = self._world.clock.now, self._vm.healths[name]
         record = self._races[index].sent(now, name, self)
-        work = self._world.dice.lognormvariate(math.log(self._kind.work_ms), SPREAD)
+        work = self._world.rng.lognormvariate(math.log(self._kind.work_ms), SPREAD)
         work *= self._caller.length
-        attempt = _Attempt(self, index, record, standing.explained(now), work)
+        attempt = _Attempt(self, index, record, health.explained(now), work)
         delay = record.hedge_at - now
-        standing.sent(
+        health.sent(
             attempt, late_at=record.hedge_at, unexplained_at=now + delay * attempt.explained
         )
         replica = self._world.replicas[name]
@@ -300,7 +302,7 @@
             least=self._kind.least,
             parts=len(self._parts),
             lost=self._lost,
-            aim_passed=now >= self._aim_cut and self._world.variant.policy.answers_at_aim,
+            aim_passed=now >= self._aim_cut and self._world.variant.policy.partial_at_target,
         )
         if verdict is PartsVerdict.ANSWER:
             self._caller.answered_at = now + MARGIN_MS / 2000
@@ -321,7 +323,7 @@
     def __init__(self, pattern: Pattern, variant: Variant, seed: int) -> None:
         self.pattern: Final = pattern
         self.variant: Final = variant
-        self.dice: Final = random.Random(seed)
+        self.rng: Final = random.Random(seed)
         self.clock: Final = EventClock()
         self.names: Final = [
             tuple(f"{shard}-{number}" for number in range(REPLICAS)) for shard in range(SHARDS)
@@ -340,19 +342,19 @@
         """Have a caller try at some VM."""
         caller.tries += 1
         caller.tried_at = self.clock.now
-        _Drive(self, self.dice.choice(self._vms), caller).begin()
+        _Drive(self, self.rng.choice(self._vms), caller).begin()
 
     def _arrive(self) -> None:
         now = self.clock.now
         if now >= self.pattern.seconds:
             return
         if now > 0.0:
-            kind = self.dice.choices(KINDS, [kind.share for kind in KINDS])[0]
-            is_long = self.dice.random() < self.pattern.long_share
+            kind = self.rng.choices(KINDS, [kind.share for kind in KINDS])[0]
+            is_long = self.rng.random() < self.pattern.long_share
             caller = Caller(kind, now, self.pattern.long_factor if is_long else 1.0)
             self.callers.append(caller)
             self.send(caller)
-        gap = self.dice.expovariate(USUAL_RATE * self.pattern.factor(now))
+        gap = self.rng.expovariate(USUAL_RATE * self.pattern.factor(now))
         self.clock.after(gap, self._arrive)
 
 
--- a/libs/bench/berylspindle_bench/forward_trials.py
+++ b/libs/bench/berylspindle_bench/forward_trials.py
@@ -32,7 +32,7 @@
 BURST_S: Final = 6.0
 
 VARIANTS: Final = (
-    Variant(name="no admission", policy=ForwardPolicy(refuses=False, spares_queues=False)),
+    Variant(name="no admission", policy=ForwardPolicy(refuses=False, hedge_idle_only=False)),
     Variant(name="no admission, hedges to free slots", policy=ForwardPolicy(refuses=False)),
     Variant(name="as it is"),
 )
--- a/libs/controlplane/berylspindle_controlplane/joiner.py
+++ b/libs/controlplane/berylspindle_controlplane/joiner.py
@@ -66,7 +66,7 @@
         transport: Transport,
         vm_list: VmList | None,
         seeds: Sequence[Address],
-        dice: random.Random,
+        rng: random.Random,
     ) -> None:
         self._me: Final = me
         self._limits: Final = limits
@@ -76,7 +76,7 @@
         self._transport: Final = transport
         self._vm_list: Final = vm_list
         self._seeds: Final = tuple(seeds)
-        self._dice: Final = dice
+        self._rng: Final = rng
         self._leaving = False
         self._out_since: float | None = None
         self._alone_after = limits.alone_after
@@ -118,7 +118,7 @@
         return self._gossip.answer_pull(codec.to_pack(nothing))
 
     async def _pause(self, wait: float) -> float:
-        await asyncio.sleep(wait * (0.5 + self._dice.random()))
+        await asyncio.sleep(wait * (0.5 + self._rng.random()))
         return min(self._limits.max_retry, 2 * wait)
 
     async def _join_once(self) -> bool:
@@ -129,7 +129,7 @@
         # once would else race itself for each epoch.
         members = self._members()
         if members:
-            await self._ask(self._dice.choice(members), JOIN, codec.to_pack(self._me))
+            await self._ask(self._rng.choice(members), JOIN, codec.to_pack(self._me))
         if not self._gossip.ownership.is_member and self._may_join_alone(members, now):
             await self._keeper.submit(Join(self._me))
             self._alone_after = min(self._limits.max_alone, 2 * self._alone_after)
@@ -157,7 +157,7 @@
 
     async def _ask_seeds(self) -> None:
         addresses = [*self._seeds, *await self._listed()]
-        self._dice.shuffle(addresses)
+        self._rng.shuffle(addresses)
         for host, port in addresses[:_MAX_SEEDS]:
             if (host, port) == (self._me.host, self._me.peer_port):
                 continue
--- a/libs/controlplane/berylspindle_controlplane/plane.py
+++ b/libs/controlplane/berylspindle_controlplane/plane.py
@@ -94,7 +94,7 @@
         on_state: OnState,
         events: OnEvent,
         busy: Busy = dict,
-        dice: random.Random | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         self._options: Final = options
         self._me: Final = me
@@ -102,7 +102,7 @@
         self._transport: Final = transport
         self._on_state: Final = on_state
         self._events: Final = events
-        self._random: Final = dice if dice is not None else random.Random()
+        self._random: Final = rng if rng is not None else random.Random()
         self._gossip: Final = Gossip(
             me, self, pick=self._pick, leases=options.leases, probes=options.probes
         )
@@ -137,7 +137,7 @@
             transport=transport,
             vm_list=vm_list,
             seeds=seeds,
-            dice=self._random,
+            rng=self._random,
         )
 
     @property
--- a/libs/dataplane/berylspindle_dataplane/plane.py
+++ b/libs/dataplane/berylspindle_dataplane/plane.py
@@ -213,7 +213,7 @@
             me=self._me,
             tell=tell,
             now=self._now,
-            dice=random.Random(),
+            rng=random.Random(),
         )
 
     def _edge_handlers(self, tools: EntryTools) -> EdgeHandlers:
--- a/libs/dataplane/berylspindle_dataplane/suspect_share.py
+++ b/libs/dataplane/berylspindle_dataplane/suspect_share.py
@@ -58,14 +58,14 @@
         me: Vm,
         tell: Tell,
         now: Callable[[], float],
-        dice: random.Random,
+        rng: random.Random,
     ) -> None:
         self._quarantine: Final = quarantine
         self._owner: Final = owner
         self._me: Final = me
         self._tell: Final = tell
         self._now: Final = now
-        self._dice: Final = dice
+        self._rng: Final = rng
         self._peers: tuple[Vm, ...] = ()
         self._has_news: Final = asyncio.Event()
         self._struck_here = False
@@ -136,7 +136,7 @@
         """Return whom to tell: all where they are few and the news is from here."""
         if self._struck_here and len(self._peers) < MAX_TOLD_ALL:
             return self._peers
-        return self._dice.sample(self._peers, min(TOLD_AT_RANDOM, len(self._peers)))
+        return self._rng.sample(self._peers, min(TOLD_AT_RANDOM, len(self._peers)))
 
     def _clear_owner(self, records: Sequence[SuspectRecord]) -> None:
         cleared = [record for record in records if record.level is Level.CLEARED]
--- a/libs/decisions/berylspindle_decisions/overload_gate.py
+++ b/libs/decisions/berylspindle_decisions/admission_controller.py
@@ -1,41 +1,23 @@
-"""Which requests begin, and which are refused at once, while replicas' queues are long.
+"""Admit a request whole or reject it at once, by the queueing delay at replicas.
 
-Pattern of load: a burst, or replicas that turn slow, brings more than a service bears. Without a
-refusal each replica's first-come queue grows until all answers are late, and stays so after the
-burst is over: at four times the usual load nobody was refused and two of three answers were late.
-Where each shard dropped what it cannot take, it would drop parts of other searches than the next.
+Pattern of load: a burst, or replicas that turn slow, brings more than a service can serve. Without
+rejections each replica's first-come queue grows until all answers are late. Dropping sub-requests
+shard by shard would drop parts of other searches each time.
 
 Terms:
-  added     milliseconds that waiting in queues adds to a sub-request now, at its best replica
-  pressure  the added time of a request over its aim; of a search, at the shard that decides whether
-            the least share of its parts is there
-  group     requests that compete for the same replicas
-
-Flow: `admits` is asked once for each request, before anything of it goes out, so that a search
-begins whole or not at all. `return_after_ms` names the time that a refused caller is told.
-
-Each VM decides by what it sees; they need not know how many they are. The share that is refused
-grows with the pressure, which all VMs see fall as soon as some of them refuse, instead of all
-refusing at one level and all admitting again below it. That alone settles at longer queues the more
-is offered; so the share also drifts, up while queues take more than `TARGET` of the aim and down
-while they take less. Only time in queues counts: where a replica is slow, paused or gone, refusing
-its callers makes nobody's answer sooner, and a late answer is better than none.
-
-The more urgent go first: of the less urgent of a group at least `URGENT_FACTOR` times the share is
-refused that is refused of the more urgent, so that a quick check that needs fewer shards does not
-begin while searches are refused. `MOST_HELD_BACK` leaves one in four, so that none is starved. It
-costs 0.01 of worth on days of bursts, for the less urgent are a tenth of the work.
-
-A caller that was refused before and comes again is treated like all others: let in at twice the
-pressure, so many came back that queues grew until all were late (worth 0.67 for 0.73).
-
-Thresholds: at `REFUSE_FROM` of the aim in queues a sub-request that takes its usual sixth of the
-aim is just in time, at `REFUSE_ALL` hardly any is. Played on three seeds of two days of bursts,
-0.35 to 0.6 refused where all could be served (worth 0.74 for 0.86); 0.5 to 0.8 was level there and
-worse where replicas have more slots (0.78 for 0.82). With a third of the replicas three times as
-slow at 2.5 times the usual load it takes the credit earned from 0.32 to 0.60 of all. At eight times
-the usual load the drift takes worth from 0.35 to 0.41 (0.06 without a gate); at four times it is
-level.
+  queueing delay  milliseconds that queues add to a sub-request now, at its best replica
+  pressure        queueing delay of a request over its latency target; of a search, at the shard
+                  that decides whether the least share of its parts is there
+  group           requests that compete for the same replicas
+
+Flow: `admits` is called once for each request, before any sub-request goes out. The rejected share
+has a proportional term, the pressure that the request meets, and an integral term, which moves the
+share until queues take `TARGET` of the latency target. `return_after_ms` is the Retry-After of a
+rejected caller. Each VM decides by what it sees; the number of VMs is not needed.
+
+Only time in queues counts: rejecting callers of a replica that is slow, paused or gone makes no
+other answer sooner. Of the less urgent requests of a group at least `URGENT_FACTOR` times the share
+of the more urgent ones is rejected, up to `MOST_HELD_BACK`, so that none is starved.
 """
 
 from __future__ import annotations
@@ -47,7 +29,7 @@
 import attrs
 
 from berylspindle_decisions.forward_policy import ForwardPolicy
-from berylspindle_decisions.replica_standing import Standing
+from berylspindle_decisions.replica_health import ReplicaHealth
 
 REFUSE_FROM: Final = 0.65
 REFUSE_ALL: Final = 1.05
@@ -75,7 +57,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class GateRequest:
+class AdmissionRequest:
     """What the gate needs to know of a request; 0 is the most urgent priority."""
 
     group: str
@@ -104,14 +86,14 @@
         self.pressure, self.at = pressure, now
 
 
-class OverloadGate:
+class AdmissionController:
     """The refusals of one VM; times are in seconds of the caller's clock."""
 
     def __init__(self, policy: ForwardPolicy = ForwardPolicy()) -> None:  # noqa: B008
         self._policy: Final = policy
         self._levels: Final[dict[str, dict[int, _Level]]] = {}
 
-    def admits(self, now: float, request: GateRequest, *, u: float) -> bool:
+    def admits(self, now: float, request: AdmissionRequest, *, u: float) -> bool:
         """Tell whether a request begins; `u` is a random number in [0, 1)."""
         if not self._policy.refuses:
             return True
@@ -139,7 +121,7 @@
     return min(1.0, max(0.0, (pressure - REFUSE_FROM) / (REFUSE_ALL - REFUSE_FROM)))
 
 
-def added_ms_of(replicas: Iterable[Standing], now: float, *, usual_ms: float) -> float:
+def added_ms_of(replicas: Iterable[ReplicaHealth], now: float, *, usual_ms: float) -> float:
     """Return what queues add to a sub-request at the best of these replicas, 0 where none is sound.
 
     Replicas that are cold, paused or failing are left out: waiting for them is no queue.
--- a/libs/decisions/berylspindle_decisions/forward_policy.py
+++ b/libs/decisions/berylspindle_decisions/forward_policy.py
@@ -26,7 +26,7 @@
     # A second attempt goes out beside a late one; off, a paused replica is waited for.
     hedges: bool = True
     # Hedges go only where a slot is free; off, they lengthen queues under a burst.
-    spares_queues: bool = True
+    hedge_idle_only: bool = True
     # What would only lengthen queues is refused at once; off, all is late together.
     refuses: bool = True
     # The refused share drifts with the pressure; off, queues settle longer the more is offered.
@@ -34,7 +34,7 @@
     # Of the less urgent more is refused; off, each kind is weighed by its own queues alone.
     urgent_first: bool = True
     # A search is answered at its aim with enough parts; off, it waits for the last one.
-    answers_at_aim: bool = True
+    partial_at_target: bool = True
     # Replicas of the own data centre go first until they are twice as slow; off, all are alike.
     prefers_near: bool = True
     # A replica that answers slowly gets less; off, only its queue counts.
@@ -44,7 +44,7 @@
     # A replica that refuses or fails often gets less; off, a success clears it.
     learns_sheds: bool = True
     # The load that other VMs usually bring counts between reports; off, the last report alone.
-    minds_others: bool = True
+    estimate_load: bool = True
     # Searches of small VMs go through bigger ones of their data centre; off, each does its own.
     relays: bool = True
     # Shards without a replica near come as one answer of a VM near them; off, each comes alone.
@@ -52,7 +52,7 @@
     # What may not be repeated avoids replicas that lost answers of any VM; off, of this one alone.
     shares_losses: bool = True
     # A service without a usable replica is waited for; off, its callers are told at once.
-    is_patient: bool = True
+    wait_for_replica: bool = True
 
 
 def read_policy(text: str) -> ForwardPolicy:
--- a/libs/decisions/berylspindle_decisions/attempt_race.py
+++ b/libs/decisions/berylspindle_decisions/hedged_request.py
@@ -1,4 +1,4 @@
-"""The attempts of one request at one service: which goes out next, and when.
+"""Decide on the attempts of one request at one service: first, hedges and retries.
 
 Pattern of load: replicas that pause, refuse, fail and vanish while a request waits for one of them.
 
@@ -7,23 +7,16 @@
   runs       attempts that have run, may have, or still may; never more than the route allows
   hedge      an attempt beside one that is out
   retry      an attempt after all others have ended without an answer
-  patience   until when a service without any usable replica is waited for
-
-Flow: `step` says what to do now: send to a replica, wait until a time, or give up; the caller
-reports each attempt's end. The race asks a `RaceGuide` for replicas and for leave of the extra
-share, and holds no clock.
-
-Guards: what may not be repeated gets a second attempt only where the first has surely not run; a
-lost connection after the first byte ends it. A request never has more runs than its route allows,
-hedges and retries together. Refusals cost arrivals too, so that after each a pause grows from
-`PAUSE_FIRST`. Where all replicas refuse connections, each request would connect to one after the
-other without a pause, and a VM with ten such requests would do nothing else: once all were tried,
-the next try waits as long.
-
-Thresholds: a replica that refused is asked again after 10 ms, then twice as long: its queue of some
-twenty is gone in about that many. A budget that is spent is asked again after `BUDGET_PAUSE`, until
-`BUDGET_PATIENCE` is over: a share that is spent stays so for seconds, and a caller that is told at
-once can try again elsewhere.
+
+Flow: `step` returns what to do now: send to a replica, wait until a time, or give up; the caller
+reports each attempt's end. An `AttemptPolicy` chooses replicas and grants the retry budget; there
+is no clock here.
+
+Guards: a request that is not idempotent gets a second attempt only where the first has surely not
+run. A request never has more runs than its route allows, hedges and retries together. Refusals cost
+arrivals too, so that the pause after each grows from `PAUSE_FIRST`, the time in which a replica's
+queue of twenty drains. Where all replicas refuse connections, the next try waits as long. A spent
+budget is asked for again for `BUDGET_PATIENCE`; a caller that is told then can try elsewhere.
 """
 
 from __future__ import annotations
@@ -55,7 +48,7 @@
     RAN = "ran"
 
 
-class RaceState(enum.Enum):
+class RequestState(enum.Enum):
     """Where a race stands."""
 
     OPEN = "open"
@@ -96,10 +89,10 @@
 
 _UNRUN: Final = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN})
 
-RaceStep = SendTo | WaitUntil | GiveUp
+RequestStep = SendTo | WaitUntil | GiveUp
 
 
-class RaceGuide(abc.ABC):
+class AttemptPolicy(abc.ABC):
     """What a race needs to know of everything beyond it."""
 
     @abc.abstractmethod
@@ -119,7 +112,7 @@
 
 
 @attrs.define(eq=False)
-class RaceAttempt:
+class AttemptRecord:
     """One attempt of a race."""
 
     replica: str
@@ -134,7 +127,7 @@
         return self.end not in _UNRUN
 
 
-class AttemptRace:
+class HedgedRequest:
     """The attempts of one request at one service."""
 
     def __init__(
@@ -143,15 +136,15 @@
         *,
         repeatable: bool,
         most_runs: int,
-        patient_until: float,
+        wait_until: float,
         deadline: float,
     ) -> None:
         self.service: Final = service
-        self.state = RaceState.OPEN
-        self.attempts: list[RaceAttempt] = []
+        self.state = RequestState.OPEN
+        self.attempts: list[AttemptRecord] = []
         self._repeatable: Final = repeatable
         self._most_runs: Final = most_runs
-        self._patient_until: Final = patient_until
+        self._wait_until: Final = wait_until
         self._deadline: Final = deadline
         self._not_before = -math.inf
         self._pause = PAUSE_FIRST
@@ -165,7 +158,7 @@
         """Tell whether any attempt has run, may have, or still may."""
         return any(attempt.counts_as_run for attempt in self.attempts)
 
-    def step(self, now: float, guide: RaceGuide) -> RaceStep:
+    def step(self, now: float, guide: AttemptPolicy) -> RequestStep:
         """Return what to do now; ask again until it says to wait."""
         runs = sum(attempt.counts_as_run for attempt in self.attempts)
         is_out = any(attempt.is_out for attempt in self.attempts)
@@ -179,21 +172,21 @@
             return WaitUntil(min(self._not_before, self._deadline))
         return self._step_retry(now, guide)
 
-    def sent(self, now: float, replica: str, guide: RaceGuide) -> RaceAttempt:
+    def sent(self, now: float, replica: str, guide: AttemptPolicy) -> AttemptRecord:
         """Note an attempt that goes out now."""
         hedge_at = now + guide.hedge_after(self.service)
-        attempt = RaceAttempt(replica, now, hedge_at)
+        attempt = AttemptRecord(replica, now, hedge_at)
         self.attempts.append(attempt)
         self._hedge_at = hedge_at
         return attempt
 
-    def answered(self, attempt: RaceAttempt) -> None:
+    def answered(self, attempt: AttemptRecord) -> None:
         """Note the answer; the race is won."""
         attempt.is_out = False
         attempt.end = AttemptEnd.RAN
-        self.state = RaceState.WON
+        self.state = RequestState.WON
 
-    def ended(self, now: float, attempt: RaceAttempt, end: AttemptEnd, *, refused: bool) -> None:
+    def ended(self, now: float, attempt: AttemptRecord, end: AttemptEnd, *, refused: bool) -> None:
         """Note an attempt that ended without an answer; `refused` by the replica itself."""
         attempt.is_out = False
         attempt.end = end
@@ -206,7 +199,7 @@
             self._not_before = now + self._pause
             self._pause = min(PAUSE_MOST, 2 * self._pause)
 
-    def _step_hedge(self, now: float, guide: RaceGuide, runs: int) -> RaceStep:
+    def _step_hedge(self, now: float, guide: AttemptPolicy, runs: int) -> RequestStep:
         if now >= self._deadline:
             # Nothing more goes out; whoever waits for the race ends it.
             return WaitUntil(math.inf)
@@ -221,7 +214,7 @@
             return WaitUntil(min(self._hedge_at, self._deadline))
         return SendTo(replica, "hedge")
 
-    def _step_retry(self, now: float, guide: RaceGuide) -> RaceStep:
+    def _step_retry(self, now: float, guide: AttemptPolicy) -> RequestStep:
         out_of = frozenset(attempt.replica for attempt in self.attempts if attempt.counts_as_run)
         tried = frozenset(attempt.replica for attempt in self.attempts)
         replica = guide.pick(self.service, tried=tried, hedge=False)
@@ -232,7 +225,7 @@
             replica = guide.pick(self.service, tried=out_of, hedge=False)
             self._again_pause = min(PAUSE_MOST, 2 * self._again_pause)
         if replica is None:
-            if now >= self._patient_until:
+            if now >= self._wait_until:
                 return self._lose(LossReason.NO_REPLICA)
             self._not_before = now + BUDGET_PAUSE
             return WaitUntil(min(self._not_before, self._deadline))
@@ -248,5 +241,5 @@
         return SendTo(replica, "retry")
 
     def _lose(self, reason: LossReason) -> GiveUp:
-        self.state = RaceState.LOST
+        self.state = RequestState.LOST
         return GiveUp(reason)
--- a/libs/decisions/berylspindle_decisions/others_load.py
+++ b/libs/decisions/berylspindle_decisions/load_estimate.py
@@ -1,24 +1,16 @@
-"""How much work of other VMs a replica holds, as one VM knows it from the replica's own reports.
+"""Estimate the load of other VMs at one replica from the replica's load reports.
 
-Pattern of load: many VMs send to the same replicas, each knows only its own attempts, and a
-replica tells its load with each answer. Near the knee a VM that takes the last report for the whole
-load forgets what it has sent since; one that drops a report after some tenths of a second takes a
-replica that it seldom asks for free.
+Pattern of load: many VMs send to the same replicas, each knows only its own attempts, and a replica
+reports its load with each answer. A VM that takes the last report for the whole load forgets what
+it has sent since; one that drops reports early takes a replica that it seldom asks for idle.
 
 Terms:
   others   requests at the replica that are not this VM's own
-  report   running and waiting requests of all VMs, told with an answer
-  mean     what the others usually have there, over the last second
+  report   running and waiting requests of all VMs, sent with an answer
+  mean     moving average of the others' requests
 
 Flow: `reported` takes each report with this VM's own attempts, `at` is asked for each choice. The
-load is the others' at that moment and the VM's own count beside it, which it knows exactly.
-
-Thresholds: a replica of two slots turns its queue over within some tens of milliseconds, so that a
-report says little after `REPORT_MEMORY` and the mean is the better guess; of 0.04, 0.1 and 0.3 s
-the middle one was best. `MEAN_MEMORY` is long beside the queue and short beside a burst. A replica
-that has told nothing for `FORGET` has had no request of this VM for as long, and is tried. At four
-times the usual load on 30 replicas and eight VMs the mean took the credit earned, over that of all
-requests, from 0.80 to 0.85, played on three seeds.
+estimate decays from the last report to the mean, and is zero for a replica that reports nothing.
 """
 
 from __future__ import annotations
@@ -36,7 +28,7 @@
 """Seconds over which the mean itself is forgotten where no report comes."""
 
 
-class OthersLoad:
+class LoadEstimate:
     """Requests of other VMs at one replica; times are in seconds of the caller's clock."""
 
     def __init__(self, *, minds_mean: bool = True) -> None:
--- a/libs/decisions/berylspindle_decisions/line_budget.py
+++ b/libs/decisions/berylspindle_decisions/log_rate_limiter.py
@@ -1,8 +1,7 @@
-"""How many lines of the log a VM writes of each kind.
+"""Limit the lines of the log that a VM writes of each kind.
 
-Pattern of load: five times as many requests as can be served, each refused, each with a line. A
-line of a refused request costs a tenth of a millisecond and a kilobyte; written for each of some
-thousand a second they take a tenth of the processor from the requests that could be served.
+Pattern of load: five times as many requests as can be served, each rejected, each with a line. A
+thousand such lines a second take a tenth of the processor from requests that could be served.
 
 Terms:
   kind    what a line tells; each kind has its own allowance, so that one can't use up another's
@@ -10,10 +9,6 @@
 
 Flow: `may_write` is asked before a line is made. What is not allowed is counted, and the next line
 of its kind says how many were left out.
-
-Thresholds: refusals and failures are what people ask about, and get 40 a second a VM; late requests
-get half of that; requests that were only hedged, most of all, a tenth, and sound ones one line each
-ten seconds. Together 68 lines and some 70 KB a second a VM, 2% of a core at most.
 """
 
 from __future__ import annotations
@@ -62,7 +57,7 @@
     left_out: int = 0
 
 
-class LineBudget:
+class LogRateLimiter:
     """The lines that one VM may write; times are seconds of the caller's clock."""
 
     def __init__(self, rates: Mapping[LineKind, LineRate] = RATES) -> None:
--- a/libs/decisions/berylspindle_decisions/reach.py
+++ b/libs/decisions/berylspindle_decisions/reach.py
@@ -1,4 +1,4 @@
-"""Which other data centres this VM reaches just now, and whether it is cut off from all of them.
+"""Track which other data centres this VM reaches, and whether it is cut off from all of them.
 
 Pattern of load: a data centre is cut off from the others for some seconds, and callers still reach
 its VMs. A quarter of the shards have no replica in it. Its VMs send what they can't answer to
--- a/libs/decisions/berylspindle_decisions/replica_standing.py
+++ b/libs/decisions/berylspindle_decisions/replica_health.py
@@ -1,13 +1,12 @@
-"""What one VM holds of one replica, and which replica of a service a sub-request goes to.
+"""Track one replica as one VM sees it, and estimate the cost of sending it a sub-request.
 
-Pattern of load: one replica of a shard that is slow, paused, shedding or gone, among sound ones,
-while other VMs send to all of them too. Without it each search over ten shards meets that replica
-in some shard, and waits for it.
+Pattern of load: one replica of a shard is slow, paused, shedding or gone, among sound ones. Without
+health each search over many shards meets such a replica in some shard, and waits for it.
 
 Terms:
   pace       latency of the replica's answers over the usual latency of their routes; 1 is usual
   late       an attempt that has been out for longer than its hedge delay
-  stalled    a replica whose oldest attempt is late; it answers nothing just now
+  stalled    a replica whose oldest attempt is late
   held off   a replica that has refused or failed lately, until a time that doubles with each
   jump       an answer that took over `JUMP` times the replica's pace, as under a pause
   shed rate  share of the latest attempts that the replica refused or failed
@@ -16,26 +15,12 @@
              latency counts against the pace only beyond that
 
 Flow: `sent`, `answered`, `refused`, `failed` and `given_up` follow each attempt; `cost` is asked
-for each choice. `Standing` is of one VM; what other VMs send there comes in by the replica's own
-reports.
-
-Thresholds: a pace moves by `PACE_UP` of the way to a slower answer and by `PACE_DOWN` to a faster
-one. A replica in the VM's own data centre costs `LOCAL_SHARE` of another, but at most `LOCAL_MOST`
-less: it gets the work until it is about twice as slow or as loaded. With 0.5 a data centre's own
-replicas got a quarter less of its work, and answers were not sooner. A pace is forgotten over
-`PACE_MEMORY` seconds, for what is not asked shows nothing: a replica that was slow is tried again
-by one request of each VM in that time, and its hedge answers in its place. A jump of a replica that
-was fast within `FAST_S` counts as `JUMP` times the pace, and once in `JUMP_S`: a replica that
-paused for a tenth of a second is as fast as ever after it, and its two or three late answers tell
-of one pause. Taken at their word they sent its work to other data centres for seconds. Where a VM
-asks a replica once in two seconds, a jump is all that it knows, and counts whole: with it clipped
-there too, five in a hundred answers of 81 VMs more were late. A replica in steady use that stays
-ten times as slow has a pace of 5 after three answers, some 0.4 s later. All together took a third
-off the bytes between data centres on a quiet day. A stalled replica costs `STALLED` usual
-latencies: it gets work only where all others are stalled too. A held off one costs `HELD_OFF`, less
-than a stalled one, since it answers at once. A replica that refuses half of what it gets is free
-again after each success, so that it would get a third of the work; its shed rate, at `SHED_COST`
-usual latencies, leaves it what sound replicas of its service can't take.
+for each choice. The load of other VMs comes from the replica's own reports (`load_estimate`).
+
+Guards: one pause makes two or three answers late, so that a jump of a replica that was fast counts
+once, and clipped. A replica that refuses half of its requests is free again after each success;
+its shed rate keeps it from taking a third of the work. A pace is forgotten over `PACE_MEMORY`
+seconds, for a replica that gets nothing shows nothing.
 """
 
 from __future__ import annotations
@@ -44,7 +29,7 @@
 from typing import Final
 
 from berylspindle_decisions.forward_policy import ForwardPolicy
-from berylspindle_decisions.others_load import OthersLoad
+from berylspindle_decisions.load_estimate import LoadEstimate
 
 PACE_UP: Final = 0.5
 PACE_DOWN: Final = 0.25
@@ -66,7 +51,7 @@
 SHED_MEMORY: Final = 5.0
 
 
-class Standing:
+class ReplicaHealth:
     """One replica as one VM knows it; times are in seconds of the caller's clock."""
 
     def __init__(
@@ -88,7 +73,7 @@
         self._holds = 0
         self._shed = 0.0
         self._shed_at = -math.inf
-        self._others: Final = OthersLoad(minds_mean=policy.minds_others)
+        self._others: Final = LoadEstimate(minds_mean=policy.estimate_load)
 
     @property
     def outstanding(self) -> int:
--- a/libs/decisions/berylspindle_decisions/extra_share.py
+++ b/libs/decisions/berylspindle_decisions/shared_retry_budget.py
@@ -1,8 +1,7 @@
-"""How many extra arrivals one VM may cause at a service: its share of what all VMs may together.
+"""Bound the hedges and retries of one VM at a service: its share of the fleet's budget.
 
-Pattern of load: stragglers, sheds and failures breed hedges and retries, on every VM at once.
-Without a bound over all VMs a service in trouble gets twice its load just when it bears half. The
-VMs cannot ask each other before each hedge, so each takes a fixed share.
+Pattern of load: stragglers, sheds and failures breed hedges and retries on every VM at once.
+Without a bound over all VMs a service in trouble gets twice its load just when it can serve half.
 
 Terms:
   request   a caller's request on a route to the service, whether or not it went further
@@ -15,13 +14,11 @@
 part follows the VM's own requests, so that the sum over all VMs is right however uneven they are;
 the slack is divided by the number of VMs.
 
-Thresholds: counts are kept in steps of a twentieth of the window. Of the extras the oldest step
-counts whole, of the requests not at all, so that no span of a window's length holds more than is
-allowed; with the requests of a step too many the twentieth that is left for others was gone, and
-eight VMs that spent all had one arrival too many. `SAFETY` leaves a twentieth for VMs
-that others have not counted yet. A VM that has just started has no slack and gains it over one
-window: its last process may have used it up. Hedges get `HEDGE_PART` of the whole, so that what has
-failed can still be tried again when hedges have used theirs.
+Guards: counts are kept in steps. Of the extras the oldest step counts whole, of the requests not at
+all, so that no window holds more than is allowed. `SAFETY` leaves a part for VMs that others have
+not counted yet. A VM that has just started gains its slack over one window, for its last process
+may have used it up. Hedges get `HEDGE_PART` of the whole, so that retries are possible when hedges
+have used theirs.
 """
 
 from __future__ import annotations
@@ -38,7 +35,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class ExtraBounds:
+class SharedBudgetOptions:
     """The bound over all VMs; `window` is in seconds."""
 
     ratio: float = 0.2
@@ -72,10 +69,10 @@
             self.total -= self._steps.popleft()[1]
 
 
-class ExtraShare:
+class SharedRetryBudget:
     """The extras of one VM at one service."""
 
-    def __init__(self, bounds: ExtraBounds, *, started: float) -> None:
+    def __init__(self, bounds: SharedBudgetOptions, *, started: float) -> None:
         self._bounds: Final = bounds
         self._started: Final = started
         self._requests: Final = _Sum(bounds.window, STEPS)
--- a/libs/forwarding/berylspindle_forwarding/attempt_guide.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_policy.py
@@ -1,12 +1,12 @@
-"""What the drive of a request asks and tells of replicas, budgets and latencies.
+"""Connect one request to shared replica state, retry budgets and latency statistics.
 
 Terms:
   tools   what all requests of one VM share
   times   the bounds of one request
 
-Flow: the forwarder makes one `ForwardTools`; each request gets a `ServiceGuide`, which answers its
-races from the replica book, the extra shares and the route's latency profile, and feeds all three
-with what comes of each attempt.
+Flow: the forwarder makes one `ForwardTools`; each request gets a `RouteAttemptPolicy`, which
+chooses replicas from the registry, grants retry budgets and hedge delays, and updates all three
+from the outcome of each attempt.
 """
 
 from __future__ import annotations
@@ -18,24 +18,24 @@
 
 import attrs
 
-from berylspindle_decisions.answer_time import HedgeTimes, hedge_times
-from berylspindle_decisions.attempt_race import RaceGuide
-from berylspindle_decisions.extra_share import ExtraBounds, ExtraShare
-from berylspindle_decisions.forward_policy import ForwardPolicy
-from berylspindle_decisions.latency_profile import LatencyProfile
-from berylspindle_decisions.line_budget import LineBudget, LineKind
-from berylspindle_decisions.overload_gate import (
-    GateRequest,
-    OverloadGate,
+from berylspindle_decisions.admission_controller import (
+    AdmissionController,
+    AdmissionRequest,
     added_ms_of,
     pressure_of,
     return_after_ms,
 )
+from berylspindle_decisions.answer_time import HedgeTimes, hedge_times
+from berylspindle_decisions.forward_policy import ForwardPolicy
+from berylspindle_decisions.hedged_request import AttemptPolicy
+from berylspindle_decisions.latency_profile import LatencyProfile
+from berylspindle_decisions.log_rate_limiter import LineKind, LogRateLimiter
 from berylspindle_decisions.reach import Reach
-from berylspindle_decisions.replica_standing import Standing
+from berylspindle_decisions.replica_health import ReplicaHealth
+from berylspindle_decisions.shared_retry_budget import SharedBudgetOptions, SharedRetryBudget
 from berylspindle_forwarding.crash_watch import CrashWatch
 from berylspindle_forwarding.dialect import HOP_HEADERS, Dialect
-from berylspindle_forwarding.replica_book import ReplicaBook, ReplicaHandle
+from berylspindle_forwarding.replica_registry import ReplicaHandle, ReplicaRegistry
 from berylspindle_forwarding.reply_check import ReplyClass
 from berylspindle_model.errors import ErrorKind, Refusal, RunState
 from berylspindle_model.routing import Route
@@ -47,7 +47,7 @@
 if TYPE_CHECKING:
     from berylspindle_forwarding.drive import Attempt
 
-PATIENCE_S: Final = 0.25
+NO_REPLICA_WAIT_S: Final = 0.25
 """Seconds for which a service without a usable replica is waited for: a replica that has just gone
 is mostly replaced within them, and a caller that is told to come back waits as long. A VM that is
 cut off says so at once."""
@@ -72,7 +72,7 @@
         unqueued: of those that were sent to a replica with a free slot.
     """
 
-    book: ReplicaBook
+    book: ReplicaRegistry
     crashes: CrashWatch
     reach: Reach
     dialect: Dialect
@@ -80,12 +80,12 @@
     now: Callable[[], float]
     vms: Callable[[], int]
     until_elsewhere: Callable[[float], float]
-    bounds: ExtraBounds
+    bounds: SharedBudgetOptions
     started: float
     policy: ForwardPolicy
-    gate: OverloadGate
-    lines: LineBudget = attrs.field(factory=LineBudget)
-    shares: dict[str, ExtraShare] = attrs.field(factory=dict)
+    gate: AdmissionController
+    lines: LogRateLimiter = attrs.field(factory=LogRateLimiter)
+    shares: dict[str, SharedRetryBudget] = attrs.field(factory=dict)
     profiles: defaultdict[str, LatencyProfile] = attrs.field(factory=_profiles)
     unqueued: defaultdict[str, LatencyProfile] = attrs.field(factory=_profiles)
 
@@ -96,11 +96,11 @@
             return
         _LOG.info(message, extra=fields)
 
-    def share(self, service: str) -> ExtraShare:
+    def share(self, service: str) -> SharedRetryBudget:
         """Return this VM's extra share at a service."""
         found = self.shares.get(service)
         if found is None:
-            found = self.shares[service] = ExtraShare(self.bounds, started=self.started)
+            found = self.shares[service] = SharedRetryBudget(self.bounds, started=self.started)
         return found
 
 
@@ -120,7 +120,7 @@
     answer_by: float
 
 
-class ServiceGuide(RaceGuide):
+class RouteAttemptPolicy(AttemptPolicy):
     """What the races of one request need to know, and what is learned from them."""
 
     def __init__(
@@ -176,15 +176,15 @@
 
     def note_sent(self, now: float, attempt: Attempt, reason: str) -> None:
         """Note an attempt that goes out."""
-        attempt.explained = attempt.handle.standing.explained(now)
+        attempt.explained = attempt.handle.health.explained(now)
         delay = attempt.record.hedge_at - attempt.record.sent_at
-        attempt.handle.standing.sent(
+        attempt.handle.health.sent(
             attempt,
             late_at=attempt.record.hedge_at,
             unexplained_at=now + delay * attempt.explained,
         )
         self._tools.reach.tried(now, attempt.handle.replica.data_centre)
-        if now < attempt.handle.standing.cold_until:
+        if now < attempt.handle.health.cold_until:
             attempt.handle.note_cold_send(now)
         self._tools.metrics.count(names.FORWARD_ATTEMPTS, reason=reason)
 
@@ -196,7 +196,7 @@
         parts = text.split(",")
         if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
             running, waiting, slots = (int(part) for part in parts)
-            handle.standing.reported(now, running=running, waiting=waiting, slots=slots)
+            handle.health.reported(now, running=running, waiting=waiting, slots=slots)
 
     def note_reply(
         self,
@@ -207,18 +207,18 @@
         reply: ExchangeReply,
     ) -> None:
         """Learn from a whole reply."""
-        standing = attempt.handle.standing
+        health = attempt.handle.health
         self._tools.reach.heard(now, attempt.handle.replica.data_centre)
         self._tools.metrics.count(names.FORWARD_REPLIES, kind=verdict.value)
         if verdict in (ReplyClass.ANSWER, ReplyClass.FINAL):
             ratio = self._ratio(attempt, elapsed_ms)
             self._profile.add(elapsed_ms)
             self._learn_unqueued(attempt, elapsed_ms)
-            standing.answered(now, attempt, ratio=ratio)
+            health.answered(now, attempt, ratio=ratio)
         elif verdict is ReplyClass.REFUSED:
-            standing.refused(now, attempt)
+            health.refused(now, attempt)
         elif verdict is ReplyClass.MISDIRECTED:
-            standing.withdrawn(attempt)
+            health.withdrawn(attempt)
             self._tools.note_belief(
                 "address belongs to another replica", replica=attempt.handle.replica.id
             )
@@ -232,15 +232,15 @@
         """Learn from an attempt without a reply."""
         self._tools.metrics.count(names.FORWARD_REPLIES, kind=end.kind.value)
         if end.kind is EndKind.NOT_SENT:
-            attempt.handle.standing.withdrawn(attempt)
+            attempt.handle.health.withdrawn(attempt)
         else:
             self._tools.book.losses.lost(now, attempt.handle.replica.id)
         self._note_failed(now, attempt, f"{end.kind.value} {end.detail}")
 
     def _note_failed(self, now: float, attempt: Attempt, what: str) -> None:
-        standing = attempt.handle.standing
-        was_held_off = standing.is_held_off(now)
-        standing.failed(now, attempt)
+        health = attempt.handle.health
+        was_held_off = health.is_held_off(now)
+        health.failed(now, attempt)
         if was_held_off:
             return
         self._tools.note_belief(
@@ -248,12 +248,12 @@
             replica=attempt.handle.replica.id,
             service=attempt.handle.replica.service,
             after=what,
-            shed_rate=f"{standing.shed_rate(now):.2f}",
+            shed_rate=f"{health.shed_rate(now):.2f}",
         )
 
     def note_given_up(self, now: float, attempt: Attempt, elapsed_ms: float) -> None:
         """Learn from an attempt that nobody waits for any more."""
-        attempt.handle.standing.given_up(now, attempt, ratio=self._ratio(attempt, elapsed_ms))
+        attempt.handle.health.given_up(now, attempt, ratio=self._ratio(attempt, elapsed_ms))
 
     def _learn_unqueued(self, attempt: Attempt, elapsed_ms: float) -> None:
         """Learn what an attempt takes at a free replica.
@@ -279,13 +279,13 @@
         now = self._tools.now()
         usual_ms = self._unqueued.quantile(0.5) if self._unqueued.known else 0.0
         added_ms = [
-            added_ms_of(self._standings(service), now, usual_ms=usual_ms) for service in services
+            added_ms_of(self._healths(service), now, usual_ms=usual_ms) for service in services
         ]
         shard_set = self._route.shard_set
         least = shard_set.least if shard_set is not None else len(services)
         aim_ms = (self._times.aim_cut - self._times.started) * 1000
         left_ms = (self._times.deadline - now) * 1000
-        request = GateRequest(
+        request = AdmissionRequest(
             group=services[0],
             priority=self._route.priority,
             pressure=pressure_of(added_ms, least=least, aim_ms=aim_ms),
@@ -300,8 +300,8 @@
             retry_after_ms=int(wait),
         )
 
-    def _standings(self, service: str) -> Iterator[Standing]:
-        return (handle.standing for handle in self._tools.book.usable(service))
+    def _healths(self, service: str) -> Iterator[ReplicaHealth]:
+        return (handle.health for handle in self._tools.book.usable(service))
 
     def is_hopeless(self) -> bool:
         """Tell whether this VM is cut off from too many of the route's shards for an answer."""
@@ -310,11 +310,13 @@
             return False
         return sum(map(self._tools.book.has_at_home, shard_set.shards)) < shard_set.least
 
-    def patience_s(self) -> float:
+    def no_replica_wait_s(self) -> float:
         """Return how long a service without a usable replica is waited for."""
-        if not self._tools.policy.is_patient or self._tools.reach.is_cut_off(self._tools.now()):
+        if not self._tools.policy.wait_for_replica or self._tools.reach.is_cut_off(
+            self._tools.now()
+        ):
             return 0.0
-        return PATIENCE_S
+        return NO_REPLICA_WAIT_S
 
     def retry_after_ms(self, now: float) -> int:
         """Return when a caller that was refused unrun may come back.
--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -8,7 +8,7 @@
 
 Flow: `run` lists all that there is, then watches what comes after, and hands each change to a
 `CatalogueListener`, and each entry to this VM's own mirror. Whom it follows, the store or a peer,
-is the choice of a `FollowChoice`. Every failure is followed by another try, later and later.
+is the choice of a `UpstreamSelector`. Every failure is followed by another try, later and later.
 
 Guards: leases of live replicas lapse while the store is away, and their entries go. Taken at its
 word, the store would leave a service without a replica just when it is back. So an entry that goes
@@ -28,8 +28,8 @@
 import attrs
 
 from berylspindle_decisions.quarantine import SuspectRecord
-from berylspindle_forwarding.follow_choice import FollowChoice, Followed
 from berylspindle_forwarding.mirror import Mirror
+from berylspindle_forwarding.upstream_selector import Upstream, UpstreamSelector
 from berylspindle_model.routing import Replica, RoutingTable
 from berylspindle_store.store import StoreAway, StoredValue, StoreUnsure, WatchResult
 
@@ -179,7 +179,7 @@
 
     def __init__(
         self,
-        choice: FollowChoice,
+        choice: UpstreamSelector,
         reader: CatalogueReader,
         listener: CatalogueListener,
         mirror: Mirror,
@@ -233,7 +233,7 @@
             else:
                 await asyncio.sleep(COLLECT_S if self._is_used() else COLLECT_UNUSED_S)
 
-    async def _step(self, followed: Followed, after: int | None) -> int:
+    async def _step(self, followed: Upstream, after: int | None) -> int:
         if after is not None:
             return await self._watch(followed, after)
         # The first watch finds what a cached list lacks.
@@ -241,7 +241,7 @@
         self._cached_lists = max(0, self._cached_lists - 1)
         return revision
 
-    async def _list(self, followed: Followed, *, cached: bool = False) -> int:
+    async def _list(self, followed: Upstream, *, cached: bool = False) -> int:
         revision: int | None = None
         found: dict[str, StoredValue] = {}
         for part in self._reader.parts:
@@ -262,7 +262,7 @@
         self._listener.on_listed()
         return revision
 
-    async def _watch(self, followed: Followed, after: int) -> int:
+    async def _watch(self, followed: Upstream, after: int) -> int:
         wait = WATCH_S if followed.wait is None else followed.wait
         if self._going:
             settled_at = min(map(self._settles_at, self._going))
@@ -278,7 +278,7 @@
         self._drop_gone()
         return result.revision
 
-    async def _watched(self, followed: Followed, after: int, wait: float) -> WatchResult:
+    async def _watched(self, followed: Upstream, after: int, wait: float) -> WatchResult:
         if followed.is_mirror:
             return await followed.store.watch(self._reader.prefix, after=after, wait=wait)
         try:
@@ -289,7 +289,7 @@
         finally:
             self._watching = None
 
-    async def _reached(self, followed: Followed) -> None:
+    async def _reached(self, followed: Upstream) -> None:
         now = self._now()
         if followed.is_mirror:
             # Whether its deletions are of an outage's making only the mirror can tell.
--- a/libs/forwarding/berylspindle_forwarding/crash_watch.py
+++ b/libs/forwarding/berylspindle_forwarding/crash_watch.py
@@ -25,7 +25,7 @@
 import xxhash
 
 from berylspindle_decisions.quarantine import Quarantine, RunMode, SuspectRecord
-from berylspindle_forwarding.replica_book import ReplicaHandle
+from berylspindle_forwarding.replica_registry import ReplicaHandle
 from berylspindle_forwarding.request_head import ForwardRequest
 from berylspindle_model import codec
 from berylspindle_model.errors import Refusal, RunState
--- a/libs/forwarding/berylspindle_forwarding/drive.py
+++ b/libs/forwarding/berylspindle_forwarding/drive.py
@@ -1,8 +1,8 @@
 """Carry out one request: its attempts at one service or at each shard, and its one answer.
 
 Terms:
-  race      the attempts at one service (`decisions.attempt_race`); a plain request has one race, a
-            request over a shard set one a shard
+  race      the attempts at one service (`decisions.hedged_request`); a plain request has one race,
+            a request over a shard set one a shard
   part      a shard's answer with the replica's signature
   subset    shards whose parts one VM near their replicas merges (`relay`)
   cut       a time at which an answer goes out with what is there: at the aim, then at the deadline
@@ -25,20 +25,20 @@
 import attrs
 
 from berylspindle_decisions.answer_time import PartsVerdict
-from berylspindle_decisions.attempt_race import (
+from berylspindle_decisions.hedged_request import (
     AttemptEnd,
-    AttemptRace,
+    AttemptRecord,
     GiveUp,
-    RaceAttempt,
-    RaceState,
+    HedgedRequest,
+    RequestState,
     SendTo,
 )
-from berylspindle_forwarding.attempt_guide import DriveTimes, ForwardTools, ServiceGuide
+from berylspindle_forwarding.attempt_policy import DriveTimes, ForwardTools, RouteAttemptPolicy
 from berylspindle_forwarding.part_collector import PartCollector
-from berylspindle_forwarding.replica_book import ReplicaHandle
+from berylspindle_forwarding.replica_registry import ReplicaHandle
 from berylspindle_forwarding.reply_check import ReplyClass, classify
 from berylspindle_forwarding.request_head import ForwardRequest, replica_request
-from berylspindle_forwarding.request_story import RequestStory
+from berylspindle_forwarding.request_trace import RequestTrace
 from berylspindle_model.errors import ErrorKind, Refusal, RunState
 from berylspindle_model.routing import Route
 from berylspindle_wire.exchange import (
@@ -54,7 +54,7 @@
 HTTP_OK: Final = 200
 HTTP_REFUSED: Final = 503
 
-LINGER_S: Final = 0.3
+ABANDONED_ATTEMPT_GRACE_S: Final = 0.3
 """Seconds past the deadline after which an attempt that nobody waits for is ended; replicas stop at
 the deadline by themselves."""
 
@@ -79,7 +79,7 @@
     __slots__ = ("_drive", "connection", "explained", "handle", "index", "record", "waited")
 
     def __init__(
-        self, drive: ForwardDrive, index: int, handle: ReplicaHandle, record: RaceAttempt
+        self, drive: ForwardDrive, index: int, handle: ReplicaHandle, record: AttemptRecord
     ) -> None:
         self._drive = drive
         self.index = index
@@ -122,14 +122,14 @@
         self._route: Final = route
         self._request: Final = request
         self._times: Final = times
-        self._guide: Final = ServiceGuide(tools, route, times, avoided)
-        patient_until = tools.now() + self._guide.patience_s()
+        self._guide: Final = RouteAttemptPolicy(tools, route, times, avoided)
+        wait_until = tools.now() + self._guide.no_replica_wait_s()
         self._races: Final = [
-            AttemptRace(
+            HedgedRequest(
                 service,
                 repeatable=route.repeatable,
                 most_runs=route.max_replicas if route.repeatable else 1,
-                patient_until=patient_until,
+                wait_until=wait_until,
                 deadline=times.deadline,
             )
             for service in services
@@ -149,7 +149,7 @@
         self._failure: ExchangeReply | None = None
         self._detail = ""
         self._timer: asyncio.TimerHandle | None = None
-        self.story: Final = RequestStory(times.started)
+        self.story: Final = RequestTrace(times.started)
         self._loop: Final = asyncio.get_running_loop()
         self._done: Final[asyncio.Future[HttpResponse | Refusal]] = self._loop.create_future()
         self._busy = False
@@ -193,7 +193,7 @@
                 self._subset_task.cancel()
             self._withdraw_waiting()
             if self._out:
-                late = self._times.deadline + LINGER_S - self._tools.now()
+                late = self._times.deadline + ABANDONED_ATTEMPT_GRACE_S - self._tools.now()
                 self._loop.call_later(max(0.0, late), self._end_attempts, "nobody waits")
 
     def _start(self) -> None:
@@ -253,7 +253,7 @@
         self._guide.note_reply(now, attempt, verdict, elapsed_ms, reply)
         race = self._races[attempt.index]
         if verdict is ReplyClass.ANSWER:
-            if race.state is not RaceState.WON:
+            if race.state is not RequestState.WON:
                 race.answered(attempt.record)
                 self._take(reply)
                 self._withdraw_waiting(attempt.index)
@@ -305,7 +305,7 @@
     def _advance(self, index: int) -> None:
         if self._done.done() or self._busy:
             return
-        if self._races[index].state is RaceState.OPEN:
+        if self._races[index].state is RequestState.OPEN:
             self._busy = True
             self._step(index)
             self._busy = False
@@ -318,9 +318,9 @@
     def _follow_canary(self) -> None:
         """Let the other shards begin once the first one has answered; give them up with it."""
         state, others = self._races[0].state, range(1, len(self._races))
-        if state is RaceState.WON:
+        if state is RequestState.WON:
             self._begin(others)
-        elif state is RaceState.LOST and self._collector is not None:
+        elif state is RequestState.LOST and self._collector is not None:
             self._collector.lose(len(others))
 
     def _step(self, index: int) -> None:
@@ -369,7 +369,7 @@
                 continue
             if attempt.handle.pool.withdraw(attempt):
                 self._out.discard(attempt)
-                attempt.handle.standing.withdrawn(attempt)
+                attempt.handle.health.withdrawn(attempt)
 
     def _on_timer(self) -> None:
         self._timer = None
@@ -378,7 +378,7 @@
         now = self._tools.now()
         self._busy = True
         for index, due in enumerate(self._next):
-            if due <= now and self._races[index].state is RaceState.OPEN:
+            if due <= now and self._races[index].state is RequestState.OPEN:
                 self._step(index)
         self._busy = False
         self._settle()
@@ -408,7 +408,7 @@
         if self._reply is not None:
             return self._passed_on(self._reply)
         verdict = self._collector.verdict(
-            aim_passed=now >= self._times.aim_cut and self._tools.policy.answers_at_aim
+            aim_passed=now >= self._times.aim_cut and self._tools.policy.partial_at_target
         )
         if verdict is PartsVerdict.ANSWER:
             return self._collector.response(self._request.request_id)
--- a/libs/forwarding/berylspindle_forwarding/request_cause.py
+++ b/libs/forwarding/berylspindle_forwarding/failure_cause.py
@@ -1,4 +1,4 @@
-"""Why a request was refused, failed or late: one cause of a closed list.
+"""Find the cause of a refused, failed or late request in its trace.
 
 Terms:
   waiting  a service whose answer was not there when the request ended
@@ -16,9 +16,9 @@
 
 import attrs
 
-from berylspindle_decisions.attempt_race import LossReason
+from berylspindle_decisions.hedged_request import LossReason
 from berylspindle_forwarding.reply_check import ReplyClass
-from berylspindle_forwarding.request_story import RequestStory, Step, StepKind
+from berylspindle_forwarding.request_trace import RequestTrace, Step, StepKind
 from berylspindle_model.causes import Cause
 from berylspindle_model.errors import ErrorKind, Refusal
 from berylspindle_wire.exchange import EndKind
@@ -64,7 +64,7 @@
 }
 
 
-def cause_of(facts: RequestFacts, story: RequestStory | None) -> Cause:
+def cause_of(facts: RequestFacts, story: RequestTrace | None) -> Cause:
     """Return why a request was refused, failed or late."""
     outcome = facts.outcome
     if isinstance(outcome, Refusal) and outcome.kind in _BY_KIND:
@@ -86,7 +86,7 @@
     return _of_late(facts, story)
 
 
-def _of_refusal(facts: RequestFacts, story: RequestStory) -> Cause:
+def _of_refusal(facts: RequestFacts, story: RequestTrace) -> Cause:
     for step in story.steps:
         if step.kind is StepKind.LOST:
             return _of_loss(step, story)
@@ -99,14 +99,14 @@
     return found
 
 
-def _of_loss(lost: Step, story: RequestStory) -> Cause:
+def _of_loss(lost: Step, story: RequestTrace) -> Cause:
     if lost.what is LossReason.EXTRA_SPENT:
-        return Cause.EXTRA_SHARE_SPENT
+        return Cause.RETRY_BUDGET_SPENT
     steps = [step for step in story.steps if step.service == lost.service]
     return _of_service(steps, default=Cause.NO_USABLE_REPLICA)
 
 
-def _of_late(facts: RequestFacts, story: RequestStory) -> Cause:
+def _of_late(facts: RequestFacts, story: RequestTrace) -> Cause:
     if facts.table_wait_ms >= TABLE_WAIT_MS:
         return Cause.WAITED_FOR_TABLE
     if waiting := _waiting(story):
@@ -133,7 +133,7 @@
     return None
 
 
-def _waiting(story: RequestStory) -> list[list[Step]]:
+def _waiting(story: RequestTrace) -> list[list[Step]]:
     """Return the steps of each service that has not answered."""
     services: dict[str, list[Step]] = {}
     answered: set[str] = set()
--- a/libs/forwarding/berylspindle_forwarding/forward_daemon.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_daemon.py
@@ -32,7 +32,7 @@
 
 import attrs
 
-from berylspindle_decisions.line_budget import LineBudget, LineKind
+from berylspindle_decisions.log_rate_limiter import LineKind, LogRateLimiter
 from berylspindle_forwarding.catalogue import CatalogueReader
 from berylspindle_forwarding.forwarder import Forwarder, ForwardOptions, open_forwarder
 from berylspindle_forwarding.front import refusal_reply
@@ -97,7 +97,7 @@
         self._forwarder: Final = forwarder
         self._metrics: Final = metrics
         self._log: Final = logger("daemon")
-        self._lines: Final = LineBudget()
+        self._lines: Final = LogRateLimiter()
         self._stack: Final = AsyncExitStack()
         self._callers: HttpServer
 
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -15,12 +15,12 @@
 
 import attrs
 
-from berylspindle_decisions.extra_share import ExtraBounds
+from berylspindle_decisions.admission_controller import AdmissionController
 from berylspindle_decisions.forward_policy import ForwardPolicy, switched_off
-from berylspindle_decisions.overload_gate import OverloadGate
 from berylspindle_decisions.quarantine import FirstSeen, Quarantine, QuarantineOptions
 from berylspindle_decisions.reach import Reach
-from berylspindle_forwarding.attempt_guide import ForwardTools
+from berylspindle_decisions.shared_retry_budget import SharedBudgetOptions
+from berylspindle_forwarding.attempt_policy import ForwardTools
 from berylspindle_forwarding.catalogue import (
     Catalogue,
     CatalogueListener,
@@ -36,16 +36,16 @@
 )
 from berylspindle_forwarding.crash_watch import CrashWatch
 from berylspindle_forwarding.dialect import Dialect
-from berylspindle_forwarding.follow_choice import FollowChoice, MirrorAddress
 from berylspindle_forwarding.front import Front
 from berylspindle_forwarding.mirror import Mirror, pack_losses
 from berylspindle_forwarding.outside import Outside
 from berylspindle_forwarding.relay import Relay
-from berylspindle_forwarding.replica_book import ColdBounds, ReplicaBook
 from berylspindle_forwarding.replica_pool import PoolOptions
+from berylspindle_forwarding.replica_registry import ColdBounds, ReplicaRegistry
+from berylspindle_forwarding.upstream_selector import MirrorAddress, UpstreamSelector
 from berylspindle_forwarding.vm_announcer import VmAnnouncer
-from berylspindle_forwarding.vm_book import VmBook
 from berylspindle_forwarding.vm_probe import Prober
+from berylspindle_forwarding.vm_registry import VmRegistry
 from berylspindle_model.errors import ErrorKind, Refusal
 from berylspindle_store.store import Store
 from berylspindle_telemetry import metric_names as names
@@ -91,7 +91,7 @@
     first_start: bool = False
     expected_vms: int = 8
     dialect: Dialect = attrs.field(factory=Dialect)
-    extra: ExtraBounds = attrs.field(factory=ExtraBounds)
+    extra: SharedBudgetOptions = attrs.field(factory=SharedBudgetOptions)
     cold: ColdBounds = attrs.field(factory=ColdBounds)
     pool: PoolOptions = attrs.field(factory=PoolOptions)
     policy: ForwardPolicy = attrs.field(factory=ForwardPolicy)
@@ -107,7 +107,7 @@
         self._options: Final = options
         self._metrics: Final = metrics
         self._log: Final = logger("forwarding")
-        self.vms: Final = VmBook(
+        self.vms: Final = VmRegistry(
             vm=options.vm,
             data_centre=options.data_centre,
             bears=options.bears,
@@ -142,7 +142,7 @@
             bounds=options.extra,
             started=loop.time(),
             policy=options.policy,
-            gate=OverloadGate(options.policy),
+            gate=AdmissionController(options.policy),
         )
         self._relay: Final = _relay(options, self.vms, self.book, self._reach, metrics)
         self.front: Final = Front(self._tools, self._relay, self._may_begin)
@@ -159,11 +159,11 @@
         )
         self.mirror: Final = Mirror(loop.time)
         self.mirror.losses = self.book.losses
-        self._choice: Final = FollowChoice(
+        self._choice: Final = UpstreamSelector(
             store,
             mirrors=self.vms.mirrors,
             now=loop.time,
-            dice=random.Random(),
+            rng=random.Random(),
             watchers=self.vms.watchers,
             vms_here=self.vms.size_here,
             introduction=self._introduction,
@@ -375,8 +375,10 @@
         return asyncio.get_running_loop().time() - self.front.last_request < USED_S
 
 
-def _book(options: ForwardOptions, vms: VmBook, reach: Reach, metrics: Metrics) -> ReplicaBook:
-    return ReplicaBook(
+def _book(
+    options: ForwardOptions, vms: VmRegistry, reach: Reach, metrics: Metrics
+) -> ReplicaRegistry:
+    return ReplicaRegistry(
         data_centre=options.data_centre,
         now=asyncio.get_running_loop().time,
         u=random.random,
@@ -390,7 +392,7 @@
 
 
 def _relay(
-    options: ForwardOptions, vms: VmBook, book: ReplicaBook, reach: Reach, metrics: Metrics
+    options: ForwardOptions, vms: VmRegistry, book: ReplicaRegistry, reach: Reach, metrics: Metrics
 ) -> Relay:
     return Relay(
         bears=options.bears,
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -18,7 +18,7 @@
 from berylspindle_decisions.answer_time import MARGIN_MS, NEW_CONNECTION_MS
 from berylspindle_decisions.quarantine import RunMode
 from berylspindle_decisions.weighted_turns import WeightedTurns
-from berylspindle_forwarding.attempt_guide import DriveTimes, ForwardTools
+from berylspindle_forwarding.attempt_policy import DriveTimes, ForwardTools
 from berylspindle_forwarding.dialect import Dialect
 from berylspindle_forwarding.drive import ForwardDrive, SubsetCall
 from berylspindle_forwarding.relay import Relay, RelayTimes
@@ -30,7 +30,7 @@
     read_forward,
 )
 from berylspindle_forwarding.request_log import Beliefs, Ended, RequestLog
-from berylspindle_forwarding.request_story import RequestStory
+from berylspindle_forwarding.request_trace import RequestTrace
 from berylspindle_model.errors import ANSWERS, ErrorKind, Refusal
 from berylspindle_model.routing import Route, RoutingTable
 from berylspindle_telemetry import metric_names as names
@@ -250,7 +250,7 @@
             return outcome
         elapsed_ms = (self._tools.now() - started) * 1000
         self._count(route.name, outcome.kind.value)
-        story = RequestStory(started)
+        story = RequestTrace(started)
         story.merger = merger
         self._requests.tell(
             Ended(request=forward, outcome=outcome, route=route, story=story, elapsed_ms=elapsed_ms)
--- a/libs/forwarding/berylspindle_forwarding/outside.py
+++ b/libs/forwarding/berylspindle_forwarding/outside.py
@@ -1,4 +1,4 @@
-"""Whether this VM should take callers while it is cut off from the other data centres.
+"""Detect that this VM is cut off from the other data centres, and set its readiness.
 
 Terms:
   probe     a short question to a peer in another data centre, to see whether it can be reached
@@ -25,7 +25,7 @@
 
 from berylspindle_decisions.reach import TRIES, Reach
 from berylspindle_forwarding.catalogue import VmEntry
-from berylspindle_forwarding.replica_book import ReplicaBook
+from berylspindle_forwarding.replica_registry import ReplicaRegistry
 from berylspindle_forwarding.vm_probe import Prober
 from berylspindle_model.routing import Route, RoutingTable
 
@@ -51,7 +51,7 @@
     def __init__(
         self,
         reach: Reach,
-        book: ReplicaBook,
+        book: ReplicaRegistry,
         *,
         data_centre: str,
         vms: Callable[[], tuple[VmEntry, ...]],
--- a/libs/forwarding/berylspindle_forwarding/relay.py
+++ b/libs/forwarding/berylspindle_forwarding/relay.py
@@ -32,8 +32,8 @@
 from berylspindle_decisions.relay_choice import NEARER, RelayChoice, RelayVm
 from berylspindle_forwarding.catalogue import VmEntry
 from berylspindle_forwarding.dialect import HOP_HEADERS, Dialect
-from berylspindle_forwarding.replica_book import ReplicaBook
 from berylspindle_forwarding.replica_pool import PoolOptions, ReplicaPool, RetiredPools
+from berylspindle_forwarding.replica_registry import ReplicaRegistry
 from berylspindle_forwarding.request_head import (
     RELAY_AIM,
     RELAY_LOAD,
@@ -128,7 +128,7 @@
         bears: float,
         data_centre: str,
         vms: Callable[[], Mapping[str, VmEntry]],
-        book: ReplicaBook,
+        book: ReplicaRegistry,
         reach: Reach,
         dialect: Dialect,
         metrics: Metrics,
--- a/libs/forwarding/berylspindle_forwarding/replica_book.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_registry.py
@@ -1,4 +1,4 @@
-"""The replicas that this VM knows, by service, and which one an attempt goes to.
+"""Registry of the replicas by service; choose the replica of each attempt.
 
 Terms:
   handle      one replica: what it announced, what this VM holds of it, its connections
@@ -27,7 +27,7 @@
 from berylspindle_decisions.forward_policy import ForwardPolicy
 from berylspindle_decisions.loss_reports import LossReports
 from berylspindle_decisions.reach import Reach
-from berylspindle_decisions.replica_standing import STALLED, Standing
+from berylspindle_decisions.replica_health import STALLED, ReplicaHealth
 from berylspindle_forwarding.replica_pool import PoolOptions, ReplicaPool, RetiredPools
 from berylspindle_model.routing import Replica, RoutingTable
 
@@ -56,9 +56,9 @@
 class ReplicaHandle:
     """One replica as this VM uses it."""
 
-    def __init__(self, replica: Replica, standing: Standing, pool: ReplicaPool) -> None:
+    def __init__(self, replica: Replica, health: ReplicaHealth, pool: ReplicaPool) -> None:
         self.replica = replica
-        self.standing: Final = standing
+        self.health: Final = health
         self.pool: Final = pool
         self.is_misplaced = False
         self.failures = 0
@@ -75,7 +75,7 @@
         return len(self._cold_sends)
 
 
-class ReplicaBook:
+class ReplicaRegistry:
     """All replicas that this VM knows."""
 
     def __init__(
@@ -133,8 +133,8 @@
             self._handles[replica.id] = handle
         handle.replica = replica
         handle.is_misplaced = False
-        handle.standing.slots = max(1, replica.slots)
-        handle.standing.cold_until = now + replica.cold_ms / 1000
+        handle.health.slots = max(1, replica.slots)
+        handle.health.cold_until = now + replica.cold_ms / 1000
         self._forget_choices()
 
     def remove(self, replica_id: str) -> None:
@@ -219,9 +219,9 @@
         for handle in self.usable(service):
             if handle.replica.id in tried or self._is_full(handle, now):
                 continue
-            if hedge and self._policy.spares_queues and not handle.standing.has_free_slot(now):
+            if hedge and self._policy.hedge_idle_only and not handle.health.has_free_slot(now):
                 continue
-            cost = handle.standing.cost(now, u=self._u())
+            cost = handle.health.cost(now, u=self._u())
             if handle.replica.data_centre != self._data_centre:
                 if cut_off:
                     continue
@@ -251,7 +251,7 @@
         self._far.clear()
 
     def _open(self, replica: Replica) -> ReplicaHandle:
-        standing = Standing(
+        health = ReplicaHealth(
             slots=replica.slots,
             is_local=replica.data_centre == self._data_centre,
             policy=self._policy,
@@ -263,7 +263,7 @@
             options=self._pool_options,
             on_opened=lambda: self._note_opened(replica),
         )
-        return ReplicaHandle(replica, standing, pool)
+        return ReplicaHandle(replica, health, pool)
 
     def _note_opened(self, replica: Replica) -> None:
         self._reach.heard(self._now(), replica.data_centre)
@@ -275,7 +275,7 @@
 
     def _is_full(self, handle: ReplicaHandle, now: float) -> bool:
         """Tell whether a cold replica has had this VM's part of what it bears."""
-        if now >= handle.standing.cold_until or self._table is None:
+        if now >= handle.health.cold_until or self._table is None:
             return False
         rate = self._table.rules(handle.replica.service).cold_rate
         if rate is None:
--- a/libs/forwarding/berylspindle_forwarding/request_log.py
+++ b/libs/forwarding/berylspindle_forwarding/request_log.py
@@ -16,10 +16,10 @@
 
 import attrs
 
-from berylspindle_decisions.line_budget import LineBudget, LineKind
-from berylspindle_forwarding.request_cause import RequestFacts, cause_of
+from berylspindle_decisions.log_rate_limiter import LineKind, LogRateLimiter
+from berylspindle_forwarding.failure_cause import RequestFacts, cause_of
 from berylspindle_forwarding.request_head import ForwardRequest
-from berylspindle_forwarding.request_story import RequestStory
+from berylspindle_forwarding.request_trace import RequestTrace
 from berylspindle_model.causes import Cause
 from berylspindle_model.errors import Refusal, RunState
 from berylspindle_model.routing import Route
@@ -42,7 +42,7 @@
     request: ForwardRequest
     outcome: Refusal | int
     route: Route | None = None
-    story: RequestStory | None = None
+    story: RequestTrace | None = None
     elapsed_ms: float = 0.0
     table_wait_ms: float = 0.0
     usual_ms: float = 0.0
@@ -68,7 +68,7 @@
         self._metrics: Final = metrics
         self._now: Final = now
         self._beliefs: Final = beliefs
-        self._budget: Final = LineBudget()
+        self._budget: Final = LogRateLimiter()
         self._log: Final = logger("request")
 
     def tell(self, ended: Ended) -> None:
--- a/libs/forwarding/berylspindle_forwarding/request_story.py
+++ b/libs/forwarding/berylspindle_forwarding/request_trace.py
@@ -1,10 +1,10 @@
-"""What was decided for one request, step by step, as the log tells it.
+"""Trace of one request: each attempt, its end and each shard given up.
 
 Terms:
   step   one decision or one thing learned: an attempt that went out, how one ended, a shard lost
 
 Flow: the drive of a request notes its steps, which costs an append each; they are written out only
-for requests that the log tells of in full. `request_cause` finds in them why a request failed.
+for requests that the log tells of in full. `failure_cause` finds in them why a request failed.
 """
 
 from __future__ import annotations
@@ -12,8 +12,8 @@
 import enum
 from typing import Final, NamedTuple
 
-from berylspindle_decisions.attempt_race import LossReason
-from berylspindle_forwarding.replica_book import ReplicaHandle
+from berylspindle_decisions.hedged_request import LossReason
+from berylspindle_forwarding.replica_registry import ReplicaHandle
 from berylspindle_forwarding.reply_check import ReplyClass
 from berylspindle_wire.exchange import EndKind, ExchangeEnd
 
@@ -45,7 +45,7 @@
     pace: float = 0.0
 
 
-class RequestStory:
+class RequestTrace:
     """The steps of one request; times are milliseconds since it came."""
 
     __slots__ = ("_started", "cut_off", "extras", "merger", "pressed", "steps")
@@ -62,7 +62,7 @@
         """Note an attempt that goes out, and what this VM held of the replica."""
         if reason != "first":
             self.extras += 1
-        replica, standing = handle.replica, handle.standing
+        replica, health = handle.replica, handle.health
         self.steps.append(
             Step(
                 now,
@@ -71,8 +71,8 @@
                 replica.service,
                 replica.id,
                 "",
-                standing.outstanding,
-                standing.pace(now),
+                health.outstanding,
+                health.pace(now),
             )
         )
 
--- a/libs/forwarding/berylspindle_forwarding/follow_choice.py
+++ b/libs/forwarding/berylspindle_forwarding/upstream_selector.py
@@ -1,4 +1,4 @@
-"""Whom this VM follows just now: the store, or a peer's mirror of it.
+"""Select the upstream for watches of the store's entries: the store or a peer's mirror.
 
 Terms:
   watcher  a VM of the own data centre that follows the store for the others (`decisions.watchers`)
@@ -57,7 +57,7 @@
 
 
 @attrs.frozen
-class Followed:
+class Upstream:
     """Whom to call, and how long a watch of it may wait; None where it may as long as is usual.
 
     `is_stopgap` is a mirror of any VM, for want of the store and of watchers. Whoever follows one
@@ -86,7 +86,7 @@
         return self.store.settling_ms if isinstance(self.store, MirrorStore) else 0
 
 
-class FollowChoice:
+class UpstreamSelector:
     """Choose between the store and peers' mirrors. `mirrors` returns the peers known now."""
 
     def __init__(
@@ -95,7 +95,7 @@
         *,
         mirrors: Callable[[], tuple[MirrorAddress, ...]],
         now: Callable[[], float],
-        dice: random.Random,
+        rng: random.Random,
         watchers: Callable[[], tuple[MirrorAddress, ...]] = tuple,
         vms_here: Callable[[], int] = lambda: 1,
         introduction: Callable[[], dict[str, str]] = dict,
@@ -117,7 +117,7 @@
         self._store: Final = store
         self._mirrors: Final = mirrors
         self._now: Final = now
-        self._dice: Final = dice
+        self._rng: Final = rng
         self._away = False
         self._store_next = True
         self._passed_over: dict[MirrorAddress, float] = {}
@@ -134,19 +134,19 @@
         """Return whether this VM knows another one that it follows."""
         return bool(self._watchers())
 
-    def pick(self) -> Followed:
+    def pick(self) -> Upstream:
         """Return whom to call next."""
         if watchers := self._watchers():
             return self._pick_watcher(watchers)
         if not self._away:
-            return Followed(self._store, None, False)
+            return Upstream(self._store, None, False)
         self._store_next = not self._store_next
         mirror = None if self._store_next else self._mirror()
         if mirror is None:
-            return Followed(self._store, PROBE_WAIT_S, False)
-        return Followed(mirror, STOPGAP_WAIT_S, True, is_stopgap=True)
+            return Upstream(self._store, PROBE_WAIT_S, False)
+        return Upstream(mirror, STOPGAP_WAIT_S, True, is_stopgap=True)
 
-    async def worked(self, followed: Followed) -> None:
+    async def worked(self, followed: Upstream) -> None:
         """Note that a call was answered."""
         if not followed.is_mirror:
             self._away = False
@@ -160,7 +160,7 @@
             self._passed_over.pop(self._current[0], None)
             self._tries = 0
 
-    async def failed(self, followed: Followed) -> None:
+    async def failed(self, followed: Upstream) -> None:
         """Note that a call was not answered."""
         if not followed.is_mirror:
             self._away, self._store_next = True, True
@@ -175,32 +175,32 @@
         """Close the connections to mirrors; the store's are not this object's."""
         await self._leave()
 
-    def _pick_watcher(self, watchers: tuple[MirrorAddress, ...]) -> Followed:
+    def _pick_watcher(self, watchers: tuple[MirrorAddress, ...]) -> Upstream:
         now = self._now()
         if self._current is not None:
             # One that is no watcher any more is left when it fails or lags, as any other.
             stopgap = self._current[0] not in watchers
             if not stopgap or now < self._store_try_at:
                 wait = STOPGAP_WAIT_S if stopgap else MIRROR_WAIT_S
-                return Followed(self._current[1], wait, True, is_stopgap=stopgap)
+                return Upstream(self._current[1], wait, True, is_stopgap=stopgap)
         if now < self._store_until:
-            return Followed(self._store, self._store_until - now, False)
+            return Upstream(self._store, self._store_until - now, False)
         known = [a for a in watchers if self._passed_over.get(a, now) <= now]
         if not known and now >= self._store_try_at:
             pause = max(STORE_TRY_S, STORE_TRY_PER_VM_S * self._vms_here())
-            self._store_try_at = now + pause * (0.5 + self._dice.random())
+            self._store_try_at = now + pause * (0.5 + self._rng.random())
             self._is_try = True
-            return Followed(self._store, PROBE_WAIT_S, False)
+            return Upstream(self._store, PROBE_WAIT_S, False)
         if not known and self._away and (mirror := self._mirror()) is not None:
             # Neither the watchers nor the store: any other VM may know more.
-            return Followed(mirror, STOPGAP_WAIT_S, True, is_stopgap=True)
-        address = self._dice.choice(known or watchers)
+            return Upstream(mirror, STOPGAP_WAIT_S, True, is_stopgap=True)
+        address = self._rng.choice(known or watchers)
         if self._current is not None:
             self._left.append(self._current[1])
         self._current = (address, self._open(address))
         # One that was passed over says at once whether it still lags.
         doubted = address in known and address in self._passed_over
-        return Followed(self._current[1], PROBE_WAIT_S if doubted else MIRROR_WAIT_S, True)
+        return Upstream(self._current[1], PROBE_WAIT_S if doubted else MIRROR_WAIT_S, True)
 
     def _note_try(self) -> None:
         """Look at the watchers once more after a first try that worked; then follow the store."""
@@ -211,7 +211,7 @@
             return
         self._passed_over.clear()
         pause = min(RECHECK_MOST_S, RECHECK_PER_VM_S * self._vms_here())
-        self._store_try_at = self._now() + pause * (0.5 + self._dice.random())
+        self._store_try_at = self._now() + pause * (0.5 + self._rng.random())
 
     def _open(self, address: MirrorAddress) -> MirrorStore:
         return MirrorStore(
@@ -232,7 +232,7 @@
         if not known:
             return None
         near = [address for address in known if address.is_near]
-        address = self._dice.choice(near or known)
+        address = self._rng.choice(near or known)
         self._current = (address, self._open(address))
         return self._current[1]
 
--- a/libs/forwarding/berylspindle_forwarding/vm_book.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_registry.py
@@ -1,4 +1,4 @@
-"""The other VMs of the system, as their announcements tell of them.
+"""Registry of the other VMs, from their announcements.
 
 Flow: the forwarder hands each announcement to `take`; who follows whom, whom searches are passed
 to, and by how many VMs shared bounds are divided, is answered from here.
@@ -13,10 +13,10 @@
 from berylspindle_decisions.relay_choice import count_alike, least_merger
 from berylspindle_decisions.watchers import LEAST, watchers_of
 from berylspindle_forwarding.catalogue import VmChange, VmEntry
-from berylspindle_forwarding.follow_choice import MirrorAddress
+from berylspindle_forwarding.upstream_selector import MirrorAddress
 
 
-class VmBook:
+class VmRegistry:
     """All VMs that this one knows, itself among them once it is announced."""
 
     def __init__(
--- a/libs/model/berylspindle_model/causes.py
+++ b/libs/model/berylspindle_model/causes.py
@@ -26,7 +26,7 @@
     NO_USABLE_REPLICA = "no_usable_replica"
     UNREACHABLE = "unreachable"
     REPLICAS_REFUSED = "replicas_refused"
-    EXTRA_SHARE_SPENT = "extra_share_spent"
+    RETRY_BUDGET_SPENT = "retry_budget_spent"
     ANSWER_LOST = "answer_lost"
     BAD_REPLY = "bad_reply"
     REPLICA_FAILED = "replica_failed"
@@ -82,7 +82,7 @@
         "replicas refused the request unrun until its time or its attempts were over",
         "the load of the service: more requests than its replicas' slots and queues bear",
     ),
-    Cause.EXTRA_SHARE_SPENT: CauseText(
+    Cause.RETRY_BUDGET_SPENT: CauseText(
         "what failed could not be tried again: the bound on repeats was reached",
         "why so much is repeated: replicas held off, replies by kind",
     ),
--- a/tests/bench/test_experiment.py
+++ b/tests/bench/test_experiment.py
@@ -48,7 +48,9 @@
 
 
 def test_policies_are_compared_on_the_same_seeds(short: Path):
-    first, off, again = compare(read_day(short), ["", "refuses=off,spares_queues=off", ""], (1, 2))
+    first, off, again = compare(
+        read_day(short), ["", "refuses=off,hedge_idle_only=off", ""], (1, 2)
+    )
     assert first == again
     assert first.credit > off.credit
     assert first.spread > 0.0
@@ -68,7 +70,7 @@
 def test_the_program_refuses_an_unknown_switch(short: Path, capsys):
     argv = ["experiment", str(short), "--policy", "hedging=off"]
     assert app(argv, result_action="return_value") == 2
-    assert "spares_queues" in capsys.readouterr().err
+    assert "hedge_idle_only" in capsys.readouterr().err
 
 
 def test_a_picture_needs_no_display(short: Path, tmp_path: Path):
--- a/tests/controlplane/conftest.py
+++ b/tests/controlplane/conftest.py
@@ -169,7 +169,7 @@
         self.cut: set[tuple[Address, Address]] = set()
         self.paused: set[Address] = set()
         self.loss = 0.0
-        self.dice = random.Random(1)
+        self.rng = random.Random(1)
 
     def reaches(self, source: Address, to: Address) -> bool:
         paused = to in self.paused or source in self.paused
@@ -205,10 +205,7 @@
             raise TransportError("too late") from error
 
     def _deliver(self, to: Address, data: bytes) -> None:
-        if (
-            self._network.reaches(self._me, to)
-            and self._network.dice.random() >= self._network.loss
-        ):
+        if self._network.reaches(self._me, to) and self._network.rng.random() >= self._network.loss:
             self._network.planes[to].on_datagram(data, self._me)
 
 
@@ -266,7 +263,7 @@
             events=lambda kind, fields: self.events.append((name, kind, fields)),
             # Whom a plane probes and tells is part of the run: drawn anew each time, a machine
             # finds a fault in one run and misses it in the next.
-            dice=random.Random(name),
+            rng=random.Random(name),
         )
         self.network.planes[address(vm)] = plane
         await plane.start()
--- a/tests/dataplane/test_suspect_share.py
+++ b/tests/dataplane/test_suspect_share.py
@@ -50,7 +50,7 @@
                 me=vm,
                 tell=self._tell,
                 now=lambda: self.now,
-                dice=random.Random(n),
+                rng=random.Random(n),
             )
             for n, (vm, quarantine, owner) in enumerate(
                 zip(vms, self.quarantines, self.owners, strict=True)
--- a/tests/decisions/test_forward_policy.py
+++ b/tests/decisions/test_forward_policy.py
@@ -25,5 +25,5 @@
 
 @pytest.mark.parametrize("text", ["hedging=off", "hedges", "hedges=no", "hedges=off;relays=off"])
 def test_a_setting_that_is_not_understood_is_refused_with_the_names_that_are(text: str):
-    with pytest.raises(ValueError, match="spares_queues"):
+    with pytest.raises(ValueError, match="hedge_idle_only"):
         read_policy(text)
--- a/tests/decisions/test_load_forwarding.py
+++ b/tests/decisions/test_load_forwarding.py
@@ -1,4 +1,4 @@
-"""The decisions of forwarding under load: standing, extra shares, hedge delays, parts."""
+"""The decisions of forwarding under load: health, extra shares, hedge delays, parts."""
 
 from __future__ import annotations
 
@@ -9,18 +9,18 @@
 from hypothesis import given, settings
 
 from berylspindle_decisions.answer_time import PartsVerdict, hedge_times, parts_verdict
-from berylspindle_decisions.extra_share import ExtraBounds, ExtraShare
 from berylspindle_decisions.latency_profile import LatencyProfile
 from berylspindle_decisions.record_merge import greatest
-from berylspindle_decisions.replica_standing import STALLED, Standing
+from berylspindle_decisions.replica_health import STALLED, ReplicaHealth
+from berylspindle_decisions.shared_retry_budget import SharedBudgetOptions, SharedRetryBudget
 from berylspindle_decisions.weighted_turns import WeightedTurns
 from berylspindle_model.routing import RECORD_BYTES, ShardSet, WeightedService
 
-BOUNDS = ExtraBounds(ratio=0.2, slack=56.0, window=10.0)
+BOUNDS = SharedBudgetOptions(ratio=0.2, slack=56.0, window=10.0)
 
 
-def standing(**changes) -> Standing:
-    return Standing(**{"slots": 3, "is_local": False, **changes})
+def health(**changes) -> ReplicaHealth:
+    return ReplicaHealth(**{"slots": 3, "is_local": False, **changes})
 
 
 def test_one_slow_replica_stops_mattering_within_a_second() -> None:
@@ -29,8 +29,8 @@
     Eight searches a second choose between it and two sound ones; its answers take ten times as
     long, so that only few of them can have told of it within the first second.
     """
-    replicas = [standing() for _ in range(3)]
-    dice = random.Random(1)
+    replicas = [health() for _ in range(3)]
+    rng = random.Random(1)
     chosen = [0, 0, 0]
     now, ends = 0.0, []
     for number in range(160):
@@ -38,7 +38,7 @@
         for due, index, attempt, ratio in sorted(e for e in ends if e[0] <= now):
             replicas[index].answered(due, attempt, ratio=ratio)
         ends = [e for e in ends if e[0] > now]
-        index = min(range(3), key=lambda i: replicas[i].cost(now, u=dice.random()))
+        index = min(range(3), key=lambda i: replicas[i].cost(now, u=rng.random()))
         if now >= 1.0:
             chosen[index] += 1
         ratio = 10.0 if index == 0 else 1.0
@@ -49,7 +49,7 @@
 
 
 def test_a_stalled_replica_gets_work_only_where_all_others_are_stalled() -> None:
-    paused, other = standing(is_local=True), standing()
+    paused, other = health(is_local=True), health()
     paused.sent("a", late_at=0.05)
     assert paused.cost(0.04, u=0.5) < other.cost(0.04, u=0.5)
     assert paused.cost(0.06, u=0.5) >= STALLED > other.cost(0.06, u=0.5)
@@ -63,7 +63,7 @@
     Three searches wait at the near replica while it pauses, and are answered at its end, twelve
     times as late as usual. It is as fast as ever from then on; all three tell of the one pause.
     """
-    near, far = standing(is_local=True), standing()
+    near, far = health(is_local=True), health()
     near.sent("before", late_at=0.0)
     near.answered(-0.1, "before", ratio=1.0)
     for attempt in range(3):
@@ -75,7 +75,7 @@
 
 def test_a_near_replica_that_stays_slow_loses_its_work_within_half_a_second() -> None:
     """A replica turns ten times as slow and keeps its work, as if it had only paused."""
-    near, far = standing(is_local=True), standing()
+    near, far = health(is_local=True), health()
     now = 0.0
     while near.cost(now, u=0.0) < far.cost(now, u=0.9):
         near.sent(now, late_at=now + 0.05)
@@ -90,14 +90,14 @@
     Its one answer is five times late, and none was fast just before. Taken for a pause, it keeps
     the work of its data centre, and each VM learns anew that it is slow.
     """
-    near, far = standing(is_local=True), standing()
+    near, far = health(is_local=True), health()
     near.sent("a", late_at=0.05)
     near.answered(0.15, "a", ratio=5.0)
     assert near.cost(2.0, u=0.0) > far.cost(2.0, u=0.9)
 
 
 def test_a_near_replica_with_a_queue_shares_its_work_with_others() -> None:
-    near, far = standing(is_local=True), standing()
+    near, far = health(is_local=True), health()
     for attempt in range(9):
         near.sent(attempt, late_at=1.0)
     assert near.cost(0.0, u=0.0) > far.cost(0.0, u=0.9)
@@ -105,7 +105,7 @@
 
 def test_a_replica_that_refuses_again_and_again_is_asked_ever_less() -> None:
     """A replica that sheds costs each search an arrival and a round trip."""
-    replica = standing()
+    replica = health()
     now, asked = 0.0, []
     while now < 10.0:
         if not replica.is_held_off(now):
@@ -121,7 +121,7 @@
 def test_a_replica_s_own_report_of_waiting_work_sends_requests_elsewhere_while_it_is_fresh() -> (
     None
 ):
-    busy, free = standing(), standing()
+    busy, free = health(), health()
     busy.reported(1.0, running=3, waiting=6, slots=3)
     assert busy.cost(1.1, u=0.5) > 2 * free.cost(1.1, u=0.5)
     assert busy.cost(3.0, u=0.5) < busy.cost(1.5, u=0.5) < busy.cost(1.1, u=0.5)
@@ -143,18 +143,18 @@
     Requests come unevenly, each wants an extra with some probability or two, and every span of ten
     seconds is looked at.
     """
-    dice = random.Random(seed)
-    shares = [ExtraShare(BOUNDS, started=0.0) for _ in range(vms)]
-    weights = [dice.random() + 0.1 for _ in range(vms)]
+    rng = random.Random(seed)
+    shares = [SharedRetryBudget(BOUNDS, started=0.0) for _ in range(vms)]
+    weights = [rng.random() + 0.1 for _ in range(vms)]
     requests, extras = [], []
     now = 0.0
     while now < 30.0:
-        now += dice.expovariate(rate)
-        share = dice.choices(shares, weights)[0]
+        now += rng.expovariate(rate)
+        share = rng.choices(shares, weights)[0]
         share.on_request(now)
         requests.append(now)
         for _ in range(2):
-            if dice.random() < bad and share.may_take(now, vms=vms, hedge=dice.random() < 0.5):
+            if rng.random() < bad and share.may_take(now, vms=vms, hedge=rng.random() < 0.5):
                 share.take(now)
                 extras.append(now)
     for start in (x / 4 for x in range(84)):
@@ -169,7 +169,7 @@
 
     Eight VMs get a hundred requests a second together and send again whatever they may.
     """
-    shares = [ExtraShare(BOUNDS, started=-60.0) for _ in range(8)]
+    shares = [SharedRetryBudget(BOUNDS, started=-60.0) for _ in range(8)]
     spent: list[float] = []
     for number in range(3000):
         now = number / 100
@@ -184,7 +184,7 @@
 
 
 def test_hedges_leave_a_part_of_the_share_for_what_has_failed() -> None:
-    share = ExtraShare(BOUNDS, started=-60.0)
+    share = SharedRetryBudget(BOUNDS, started=-60.0)
     for _ in range(100):
         share.on_request(0.0)
     while share.may_take(0.0, vms=8, hedge=True):
@@ -192,7 +192,7 @@
     assert share.may_take(0.0, vms=8, hedge=False)
 
 
-def spent_at(share: ExtraShare, now: float) -> int:
+def spent_at(share: SharedRetryBudget, now: float) -> int:
     count = 0
     while share.may_take(now, vms=1, hedge=False):
         share.take(now)
@@ -206,9 +206,9 @@
     What the last processes spent still counts; the new ones get less than half of it at once, and
     all of it only when a window has passed.
     """
-    first = spent_at(ExtraShare(BOUNDS, started=0.0), 0.1)
+    first = spent_at(SharedRetryBudget(BOUNDS, started=0.0), 0.1)
     assert 0.3 * BOUNDS.slack < first < 0.45 * BOUNDS.slack
-    assert spent_at(ExtraShare(BOUNDS, started=0.0), 10.0) >= 0.9 * BOUNDS.slack
+    assert spent_at(SharedRetryBudget(BOUNDS, started=0.0), 10.0) >= 0.9 * BOUNDS.slack
 
 
 def test_a_replica_that_sheds_most_gets_little_while_others_of_its_service_are_sound() -> None:
@@ -217,15 +217,15 @@
     Each success frees it from being held off, so that by that alone it would get a third of all
     work; its first refusals are to leave it a tenth at most.
     """
-    replicas = [standing() for _ in range(3)]
-    dice = random.Random(3)
+    replicas = [health() for _ in range(3)]
+    rng = random.Random(3)
     chosen = [0, 0, 0]
     for number in range(400):
         now = number / 20
-        index = min(range(3), key=lambda i: replicas[i].cost(now, u=dice.random()))
+        index = min(range(3), key=lambda i: replicas[i].cost(now, u=rng.random()))
         chosen[index] += 1
         replicas[index].sent(number, late_at=now + 1)
-        if index == 0 and dice.random() < 0.6:
+        if index == 0 and rng.random() < 0.6:
             replicas[index].refused(now, number)
         else:
             replicas[index].answered(now, number, ratio=1.0)
@@ -241,9 +241,9 @@
 
 def test_the_hedge_delay_follows_each_kind_of_request() -> None:
     """A delay that fits the long kind finds no straggler among the short ones."""
-    dice = random.Random(2)
-    short = profile_of(*(dice.lognormvariate(1.5, 0.35) for _ in range(300)))
-    long = profile_of(*(dice.lognormvariate(3.0, 0.35) for _ in range(300)))
+    rng = random.Random(2)
+    short = profile_of(*(rng.lognormvariate(1.5, 0.35) for _ in range(300)))
+    long = profile_of(*(rng.lognormvariate(3.0, 0.35) for _ in range(300)))
     first = hedge_times(short, aim_left_ms=60, aim_ms=60)
     second = hedge_times(long, aim_left_ms=140, aim_ms=140)
     assert 5 < first.delay_ms < 9
@@ -306,12 +306,12 @@
 def test_in_turns_no_service_is_off_its_share_by_more_than_a_request_or_two(
     weights: list[float], seed: int
 ) -> None:
-    dice = random.Random(seed)
+    rng = random.Random(seed)
     targets = [
         WeightedService(service=f"s{number}", weight=weight)
         for number, weight in enumerate(weights)
     ]
-    turns = WeightedTurns(targets, dice.random)
+    turns = WeightedTurns(targets, rng.random)
     got = dict.fromkeys((t.service for t in targets), 0)
     for _ in range(200):
         got[turns.next()] += 1
--- a/tests/decisions/test_load_race.py
+++ b/tests/decisions/test_load_hedged_request.py
@@ -10,15 +10,15 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from hypothesis.stateful import run_state_machine_as_test as run_machine
 
-from berylspindle_decisions import attempt_race
-from berylspindle_decisions.attempt_race import (
+from berylspindle_decisions import hedged_request
+from berylspindle_decisions.hedged_request import (
     AttemptEnd,
-    AttemptRace,
+    AttemptPolicy,
+    AttemptRecord,
     GiveUp,
+    HedgedRequest,
     LossReason,
-    RaceAttempt,
-    RaceGuide,
-    RaceState,
+    RequestState,
     SendTo,
     WaitUntil,
 )
@@ -32,7 +32,7 @@
 HEDGE_S = 0.05
 
 
-class Guide(RaceGuide):
+class Guide(AttemptPolicy):
     """Replicas in order, a budget that is counted, a constant hedge delay."""
 
     def __init__(self, extras: int = 100) -> None:
@@ -53,17 +53,17 @@
         return HEDGE_S
 
 
-def race_of(**changes) -> AttemptRace:
+def race_of(**changes) -> HedgedRequest:
     fields = {
         "repeatable": True,
         "most_runs": 2,
-        "patient_until": 0.2,
+        "wait_until": 0.2,
         "deadline": 1.0,
     }
-    return AttemptRace("s", **{**fields, **changes})
+    return HedgedRequest("s", **{**fields, **changes})
 
 
-def send(race: AttemptRace, now: float, guide: Guide, reason: str) -> RaceAttempt:
+def send(race: HedgedRequest, now: float, guide: Guide, reason: str) -> AttemptRecord:
     step = race.step(now, guide)
     assert isinstance(step, SendTo), step
     assert step.reason == reason
@@ -78,7 +78,7 @@
     hedge = send(race, 0.06, guide, "hedge")
     assert race.step(0.5, guide) == WaitUntil(1.0)
     race.answered(hedge)
-    assert race.state is RaceState.WON
+    assert race.state is RequestState.WON
     assert guide.taken == 1
 
 
@@ -167,7 +167,7 @@
     send(race, step.time, guide, "retry")
 
 
-def test_when_the_extra_share_stays_spent_the_caller_is_told_soon() -> None:
+def test_when_the_retry_budget_stays_spent_the_caller_is_told_soon() -> None:
     """A search waits a whole second for leave to ask again, and is then told that it failed.
 
     Told at once, its caller could have tried again through another VM.
@@ -193,7 +193,7 @@
         self.now = 0.0
         self.guide = Guide(extras=3)
         self.race = race_of(repeatable=self.repeatable, deadline=1.0)
-        self.out: list[RaceAttempt] = []
+        self.out: list[AttemptRecord] = []
         self.ran: list[str] = []
         self.arrivals = 0
 
@@ -202,7 +202,7 @@
 
     @rule()
     def step(self) -> None:
-        if self.race.state is not RaceState.OPEN:
+        if self.race.state is not RequestState.OPEN:
             return
         step = self.race.step(self.now, self.guide)
         if isinstance(step, SendTo):
@@ -272,6 +272,6 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     unrun = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN, AttemptEnd.MAY_HAVE_RUN})
-    monkeypatch.setattr(attempt_race, "_UNRUN", unrun)
+    monkeypatch.setattr(hedged_request, "_UNRUN", unrun)
     with pytest.raises(AssertionError):
         run_machine(OnceMachine, settings=PLANTED)
--- a/tests/decisions/test_load_loss_reports.py
+++ b/tests/decisions/test_load_loss_reports.py
@@ -15,21 +15,21 @@
 
     Reports reach all others a second later.
     """
-    dice = random.Random(seed)
+    rng = random.Random(seed)
     known = [LossReports() for _ in range(vms)]
     lost, now, told_at = 0, 100.0, 101.0
     while now < 100.0 + seconds:
-        now += dice.expovariate(12.0)
+        now += rng.expovariate(12.0)
         if shared and now >= told_at:
             told_at += 1.0
             reports = [one.report(now) for one in known]
             for one in known:
                 for report in reports:
                     one.merge(now, report)
-        vm = known[dice.randrange(vms)]
+        vm = known[rng.randrange(vms)]
         sound = [name for name in REPLICAS if not vm.is_lossy(now, name)]
-        replica = dice.choice(sound or REPLICAS)
-        if replica in LOSSY and dice.random() < 0.4:
+        replica = rng.choice(sound or REPLICAS)
+        if replica in LOSSY and rng.random() < 0.4:
             vm.lost(now, replica)
             lost += 1
     return lost
--- a/tests/decisions/test_load_relay.py
+++ b/tests/decisions/test_load_relay.py
@@ -26,8 +26,8 @@
 def test_a_small_vm_passes_its_searches_to_big_ones_and_a_big_one_keeps_its_own() -> None:
     """A search over 36 shards on a VM with 20 Mbit/s waits for its own link, not for shards."""
     choice = RelayChoice(0.516)
-    dice = random.Random(1)
-    got = Counter(pick(choice, u=dice.random()) for _ in range(100))
+    rng = random.Random(1)
+    got = Counter(pick(choice, u=rng.random()) for _ in range(100))
     assert set(got) <= {"big-1", "big-2"}
     assert pick(RelayChoice(2.15)) is None
     assert RelayChoice(1.0).pick(0.0, (SMALL, RelayVm("same", 1.5)), in_flight=1, u=0.5) is None
--- a/tests/decisions/test_line_budget.py
+++ b/tests/decisions/test_log_rate_limiter.py
@@ -4,12 +4,12 @@
 
 from collections import Counter
 
-from berylspindle_decisions.line_budget import RATES, LineBudget, LineKind
+from berylspindle_decisions.log_rate_limiter import RATES, LineKind, LogRateLimiter
 
 
 def test_a_flood_of_refusals_is_bounded_and_hides_no_other_kind() -> None:
     """The log of a minute of overload fills a disk, and the one late request can't be found."""
-    budget = LineBudget()
+    budget = LogRateLimiter()
     written: Counter[LineKind] = Counter()
     for millisecond in range(60_000):
         now = millisecond / 1000
@@ -24,7 +24,7 @@
 
 
 def test_what_was_left_out_is_told_once() -> None:
-    budget = LineBudget()
+    budget = LogRateLimiter()
     asked = int(RATES[LineKind.SAMPLE].burst) + 7
     assert sum(budget.may_write(1.0, LineKind.SAMPLE) for _ in range(asked)) == asked - 7
     assert budget.left_out(LineKind.SAMPLE) == 7
--- a/tests/forwarding/test_mirror.py
+++ b/tests/forwarding/test_mirror.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from berylspindle_forwarding.follow_choice import FollowChoice, MirrorAddress
 from berylspindle_forwarding.mirror import MOST_CHANGES, Mirror, MirrorStore
+from berylspindle_forwarding.upstream_selector import MirrorAddress, UpstreamSelector
 from berylspindle_store.store import StoreAway, StoredValue
 from berylspindle_wire.http_server import serve
 
@@ -93,8 +93,8 @@
     """A VM that the store turns away never looks whether it is back, or never follows its peers."""
     store = Broken("127.0.0.1", 1)
     near, far = MirrorAddress("127.0.0.1", 2, True), MirrorAddress("127.0.0.1", 3)
-    choice = FollowChoice(
-        store, mirrors=lambda: (near, far), now=lambda: 0.0, dice=random.Random(1)
+    choice = UpstreamSelector(
+        store, mirrors=lambda: (near, far), now=lambda: 0.0, rng=random.Random(1)
     )
     assert choice.pick().store is store
     await choice.failed(choice.pick())
@@ -115,7 +115,7 @@
 
 async def test_a_vm_without_peers_keeps_to_the_store() -> None:
     store = Broken("127.0.0.1", 1)
-    choice = FollowChoice(store, mirrors=tuple, now=lambda: 0.0, dice=random.Random(1))
+    choice = UpstreamSelector(store, mirrors=tuple, now=lambda: 0.0, rng=random.Random(1))
     await choice.failed(choice.pick())
     assert [choice.pick().is_mirror for _ in range(3)] == [False] * 3
     await store.close()
--- a/tests/forwarding/test_watchers.py
+++ b/tests/forwarding/test_watchers.py
@@ -20,8 +20,8 @@
     VmChange,
     VmEntry,
 )
-from berylspindle_forwarding.follow_choice import FollowChoice, MirrorAddress
 from berylspindle_forwarding.forwarder import Forwarder, ForwardOptions, open_forwarder
+from berylspindle_forwarding.upstream_selector import MirrorAddress, UpstreamSelector
 from berylspindle_model import codec
 from berylspindle_model.routing import CallerLimits, Replica, RoutingTable
 from berylspindle_store.store import (
@@ -352,11 +352,11 @@
     clock = [0.0]
     one, two = MirrorAddress("127.0.0.1", 1, True), MirrorAddress("127.0.0.1", 2, True)
     store = NoStore()
-    choice = FollowChoice(
+    choice = UpstreamSelector(
         store,
         mirrors=lambda: (one, two),
         now=lambda: clock[0],
-        dice=random.Random(3),
+        rng=random.Random(3),
         watchers=lambda: (one, two),
     )
     tries = 0
@@ -377,11 +377,11 @@
     calls = 0
     for seed in range(30):
         clock[0] = 0.0
-        choice = FollowChoice(
+        choice = UpstreamSelector(
             NoStore(),
             mirrors=lambda: (one, two),
             now=lambda: clock[0],
-            dice=random.Random(seed),
+            rng=random.Random(seed),
             watchers=lambda: (one, two),
             vms_here=lambda: 33,
         )
@@ -404,11 +404,11 @@
 @pytest.mark.parametrize("lag", [0, 500])
 async def test_a_watcher_that_says_that_it_lags_is_passed_over(lag: int) -> None:
     one, two = MirrorAddress("127.0.0.1", 1, True), MirrorAddress("127.0.0.1", 2, True)
-    choice = FollowChoice(
+    choice = UpstreamSelector(
         NoStore(),
         mirrors=tuple,
         now=lambda: 1.0,
-        dice=random.Random(3),
+        rng=random.Random(3),
         watchers=lambda: (one, two),
     )
     first = choice.pick()
--- a/tests/platform_adapter/test_explain.py
+++ b/tests/platform_adapter/test_explain.py
@@ -11,7 +11,7 @@
 from test_whole_path import HOST, Platform, configuration, open_platform
 
 from berylspindle_cli.log_lines import Explanation, LogLine, explain_request, read_lines
-from berylspindle_decisions.line_budget import RATES
+from berylspindle_decisions.log_rate_limiter import RATES
 from berylspindle_model.causes import Cause
 from berylspindle_standins.forward_replica import Spoil
 from berylspindle_wire.http_client import HttpFailure
@@ -60,7 +60,7 @@
     Trouble("lost", {Cause.ANSWER_LOST}, spoil=Spoil.LOST),
     Trouble("fail", {Cause.REPLICA_FAILED}),
     Trouble("foreign", {Cause.BAD_REPLY}, spoil=Spoil.FOREIGN),
-    Trouble("refuse", {Cause.REPLICAS_REFUSED, Cause.EXTRA_SHARE_SPENT}),
+    Trouble("refuse", {Cause.REPLICAS_REFUSED, Cause.RETRY_BUDGET_SPENT}),
     Trouble("slow", {Cause.REPLICAS_SILENT, Cause.LITTLE_TIME}, work=0.15),
 )
 LITTLE = {Cause.REPLICAS_SILENT, Cause.LITTLE_TIME}
@@ -74,7 +74,7 @@
     that was not answered with success has one line with one cause, the one that its trouble allows,
     unless the allowance of lines was spent, and then the lines say how many are missing.
     """
-    dice = random.Random(7)
+    rng = random.Random(7)
     statuses: dict[str, int] = {}
     troubles: dict[str, Trouble] = {}
     hurried: set[str] = set()
@@ -84,8 +84,8 @@
 
         async def one(number: int, trouble: Trouble) -> None:
             async with free:
-                path = dice.choices(PATHS, (6, 3, 1))[0]
-                name, left_ms = f"{path[1:5]}-{number}", dice.choice((4000, 4000, 400, 60))
+                path = rng.choices(PATHS, (6, 3, 1))[0]
+                name, left_ms = f"{path[1:5]}-{number}", rng.choice((4000, 4000, 400, 60))
                 troubles[name] = trouble
                 if left_ms < 1000:
                     hurried.add(name)
@@ -123,7 +123,7 @@
         Cause.REPLICA_FAILED,
         Cause.BAD_REPLY,
     }
-    assert seen & {Cause.REPLICAS_REFUSED, Cause.EXTRA_SHARE_SPENT}
+    assert seen & {Cause.REPLICAS_REFUSED, Cause.RETRY_BUDGET_SPENT}
 
 
 async def test_a_route_that_is_gone_and_replicas_that_are_gone_are_told_apart(
