Listen before the settings are read, and load less before the first request

Ruled out: running without OpenSSL (logbook needs it); a cache of what attrs generates (50 ms of the 250, but by reaching into attrs).

--- a/libs/cli/berylspindle_cli/log_lines.py
+++ b/libs/cli/berylspindle_cli/log_lines.py
@@ -18,7 +18,7 @@
 
 from berylspindle_model import codec
 from berylspindle_model.causes import CAUSES, Cause, CauseText
-from berylspindle_model.events import Stamp
+from berylspindle_model.stamps import Stamp
 
 CONTEXT_MS: Final = 15_000
 """Milliseconds before a request's line whose other lines may have to do with it: as long as a VM
--- a/libs/cli/berylspindle_cli/spans.py
+++ b/libs/cli/berylspindle_cli/spans.py
@@ -9,7 +9,7 @@
 from datetime import UTC, datetime
 from typing import Final
 
-from berylspindle_model.events import Stamp
+from berylspindle_model.stamps import Stamp
 
 _AGO: Final = re.compile(r"(\d{1,6})(s|m|h|d)")
 _UNIT_SECONDS: Final = {"s": 1, "m": 60, "h": 3600, "d": 86_400}
--- a/libs/cli/berylspindle_cli/timeline_command.py
+++ b/libs/cli/berylspindle_cli/timeline_command.py
@@ -17,7 +17,8 @@
 from berylspindle_cli.timeline_page import time_text, timeline_page
 from berylspindle_client.operators import FleetTimeline
 from berylspindle_model import codec
-from berylspindle_model.events import EventFilter, Stamp
+from berylspindle_model.events import EventFilter
+from berylspindle_model.stamps import Stamp
 
 _DEFAULT: Final = OperatorSettings()
 
--- a/libs/cli/berylspindle_cli/timeline_page.py
+++ b/libs/cli/berylspindle_cli/timeline_page.py
@@ -15,7 +15,8 @@
 from datetime import UTC, datetime
 from typing import Final
 
-from berylspindle_model.events import Event, EventKind, Stamp
+from berylspindle_model.events import Event, EventKind
+from berylspindle_model.stamps import Stamp
 
 _BAD: Final = frozenset(
     {
--- a/libs/model/berylspindle_model/events.py
+++ b/libs/model/berylspindle_model/events.py
@@ -1,8 +1,7 @@
 """Events of the time line as every process writes, sends and reads them.
 
 Terms:
-  stamp   time of a hybrid logical clock: wall milliseconds and a counter that orders what falls
-          into one millisecond, so that a cause sorts before its effect on any VM
+  stamp   time of a hybrid logical clock (`stamps`)
   event   one change of state at one VM
 
 Flow: a daemon records events in its bounded time line and serves them on the operators' interface;
@@ -12,29 +11,10 @@
 from __future__ import annotations
 
 import enum
-from typing import Final
 
 import attrs
 
-_COUNT_BITS: Final = 16
-MAX_COUNT: Final = (1 << _COUNT_BITS) - 1
-
-
-@attrs.frozen(order=True)
-class Stamp:
-    """One reading of a hybrid logical clock; a greater one is later."""
-
-    millis: int
-    count: int = 0
-
-    def pack(self) -> int:
-        """Return the stamp as one integer of 64 bits that sorts as the stamp does."""
-        return (self.millis << _COUNT_BITS) | self.count
-
-    @classmethod
-    def unpack(cls, packed: int) -> Stamp:
-        """Return the stamp that `pack` made this integer from."""
-        return cls(packed >> _COUNT_BITS, packed & MAX_COUNT)
+from berylspindle_model.stamps import Stamp
 
 
 class EventKind(enum.StrEnum):
--- a/libs/model/berylspindle_model/operator_protocol.py
+++ b/libs/model/berylspindle_model/operator_protocol.py
@@ -28,7 +28,8 @@
 import attrs
 
 from berylspindle_model.configuration import IntentRecord
-from berylspindle_model.events import EventFilter, Stamp
+from berylspindle_model.events import EventFilter
+from berylspindle_model.stamps import Stamp
 
 LIVE_PATH: Final = "/healthz"
 READY_PATH: Final = "/readyz"
--- a/libs/telemetry/berylspindle_telemetry/clock.py
+++ b/libs/telemetry/berylspindle_telemetry/clock.py
@@ -1,7 +1,7 @@
 """A hybrid logical clock: wall time that never puts an effect before its cause.
 
 Terms:
-  stamp   wall milliseconds and a counter (`berylspindle_model.events.Stamp`)
+  stamp   wall milliseconds and a counter (`berylspindle_model.stamps.Stamp`)
   tick    the stamp of an event of this VM or of a message that it sends
   merge   what a VM does with the stamp of a message that it received
 
@@ -22,7 +22,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from berylspindle_model.events import MAX_COUNT, Stamp
+from berylspindle_model.stamps import MAX_COUNT, Stamp
 
 # Well above what time synchronisation leaves between VMs (milliseconds, a second after a pause),
 # and well below what a person reading the time line would take for another incident.
--- a/libs/telemetry/berylspindle_telemetry/metrics.py
+++ b/libs/telemetry/berylspindle_telemetry/metrics.py
@@ -26,13 +26,14 @@
 from array import array
 from collections import Counter as Tally
 from collections.abc import Callable, Iterator
-from typing import Final, TypeVar
-
-from hdrh.histogram import HdrHistogram
+from typing import TYPE_CHECKING, Final, TypeVar
 
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.metric_names import Metric, MetricKind
 
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
+
 CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
 MAX_SERIES: Final = 2000
 OTHER: Final = "other"
@@ -86,8 +87,8 @@
 
     def __init__(self, now: Callable[[], float]) -> None:
         self._now = now
-        self._current = _histogram()
-        self._previous = _histogram()
+        self._current: HdrHistogram | None = None
+        self._previous: HdrHistogram | None = None
         self._turned = now()
         self._pending = array("f")
         self._tally: Tally[int] = Tally()
@@ -105,8 +106,9 @@
         self._tally_pending()
         self._record_tally()
         window = _histogram()
-        window.add(self._previous)
-        window.add(self._current)
+        for part in (self._previous, self._current):
+            if part is not None:
+                window.add(part)
         if not window.get_total_count():
             return []
         values = window.get_percentile_to_value_dict([q * 100 for q in QUANTILES])
@@ -122,6 +124,8 @@
 
     def _record_tally(self) -> None:
         tally, self._tally = self._tally, Tally()
+        if self._current is None:
+            self._current = _histogram()
         for bits, n in tally.items():
             self._current.record_value(_micros(bits), n)
 
@@ -130,12 +134,15 @@
         if age < WINDOW_SECONDS:
             return
         self._record_tally()
-        self._previous = self._current if age < 2 * WINDOW_SECONDS else _histogram()
-        self._current = _histogram()
+        self._previous = self._current if age < 2 * WINDOW_SECONDS else None
+        self._current = None
         self._turned = self._now()
 
 
 def _histogram() -> HdrHistogram:
+    # Loaded with the first quantiles, and not at the start, which callers wait for.
+    from hdrh.histogram import HdrHistogram
+
     return HdrHistogram(1, _MAX_MICROS, 2)
 
 
--- a/libs/telemetry/berylspindle_telemetry/stamping.py
+++ b/libs/telemetry/berylspindle_telemetry/stamping.py
@@ -14,7 +14,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from berylspindle_model.events import Stamp
+from berylspindle_model.stamps import Stamp
 from berylspindle_telemetry.clock import HybridClock
 
 Method = Callable[[bytes], Awaitable[bytes]]
--- a/libs/telemetry/berylspindle_telemetry/timeline.py
+++ b/libs/telemetry/berylspindle_telemetry/timeline.py
@@ -18,7 +18,8 @@
 from collections import deque
 from typing import Any, Final
 
-from berylspindle_model.events import Event, EventFilter, EventKind, EventPage, Stamp
+from berylspindle_model.events import Event, EventFilter, EventKind, EventPage
+from berylspindle_model.stamps import Stamp
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.clock import HybridClock
 from berylspindle_telemetry.logs import logger
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -19,7 +19,7 @@
 from berylspindle_model.checked import canonical
 from berylspindle_model.configuration import Configuration, DataCentre
 from berylspindle_model.errors import ErrorKind, Refusal, refuse
-from berylspindle_model.events import Event, EventFilter, EventKind, EventPage, Stamp
+from berylspindle_model.events import Event, EventFilter, EventKind, EventPage
 from berylspindle_model.intents import (
     Confirmation,
     ConfirmRequest,
@@ -32,6 +32,7 @@
 from berylspindle_model.messages import Coverage, Hit, SearchAnswer
 from berylspindle_model.operator_protocol import StatusReport, VmReport, VmState
 from berylspindle_model.snapshot import Snapshot
+from berylspindle_model.stamps import Stamp
 from berylspindle_telemetry.secret import Secret
 from berylspindle_wire.http import HttpRequest, HttpResponse, json_response
 from berylspindle_wire.http_errors import refusal_response
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -10,7 +10,7 @@
 
 from berylspindle_cli.exit_codes import ExitCode
 from berylspindle_cli.main import run
-from berylspindle_model.events import Stamp
+from berylspindle_model.stamps import Stamp
 
 
 def line(millis: int, channel: str, message: str, vm: str = "front-1", **fields: str) -> str:
--- a/tests/daemon/test_admin.py
+++ b/tests/daemon/test_admin.py
@@ -10,7 +10,7 @@
 from berylspindle_model import operator_protocol as protocol
 from berylspindle_model.caller_protocol import ErrorBody
 from berylspindle_model.errors import ErrorKind, Refusal, refuse
-from berylspindle_model.events import EventFilter, EventPage, Stamp
+from berylspindle_model.events import EventFilter, EventPage
 from berylspindle_model.intents import (
     Confirmation,
     ConfirmRequest,
@@ -19,6 +19,7 @@
     Plan,
 )
 from berylspindle_model.operator_protocol import StatusReport
+from berylspindle_model.stamps import Stamp
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.metrics import Metrics
 from berylspindle_telemetry.secret import Secret
--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -121,6 +121,7 @@
         sys.executable,
         "-m",
         "berylspindle_adapter.main",
+        f"127.0.0.1:{front}",
         env={**os.environ, "BERYLSPINDLE_NODE_FILE": str(path)},
         stdout=(folder / f"{name}.jsonl").open("wb"),
         cwd=folder,
--- a/tests/telemetry/test_clock.py
+++ b/tests/telemetry/test_clock.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from berylspindle_model.events import MAX_COUNT, Stamp
+from berylspindle_model.stamps import MAX_COUNT, Stamp
 from berylspindle_telemetry.clock import HybridClock
 from berylspindle_telemetry.stamping import MessageStamper
 
