Probe as soon as an attempt elsewhere is overdue, and tell a VM that starts of a cut at once

The balancer sends callers elsewhere two of its questions after all VMs are unready. The VM that probes found the cut after 0.5 s, just after one question; the others were told up to 0.6 s later, by looks each 0.1 s; in an outage of the store, where VMs tour mirrors, up to 2.2 s later; one that had just started kept its data centre in rotation for two seconds.

Change: a VM that others follow probes two VMs of each other data centre when an attempt is overdue (0.08 s without a word); two silent data centres are believed after 0.18 s. Told VMs act at once, a list and the first read of a mirror say that its VM is cut off, and lagging mirrors here are read on while others are tried each two seconds.

What is left is the balancer's two questions.

--- a/libs/decisions/berylspindle_decisions/reach.py
+++ b/libs/decisions/berylspindle_decisions/reach.py
@@ -6,24 +6,28 @@
 unready would have sent them to another data centre.
 
 Terms:
-  heard   a reply or a new connection of a replica or VM of a data centre
-  dark    tried for some time, and not heard since
-  cut off two data centres are dark, or the only other one, and none was heard within that time
-  suspected another VM of the own data centre has said that it is cut off
-
-Flow: `tried` and `heard` follow every attempt; `is_dark` and `is_cut_off` are asked before each
-choice and by the readiness of this VM. A suspected VM counts as cut off until it hears another data
-centre; it probes them while `should_probe`, so that its own evidence decides within a probe's time.
-
-Guard: the VMs of a cut off data centre follow each other's mirrors, some of which have seen no cut
+  heard      a reply or a new connection of a replica or VM of a data centre
+  dark       tried for some time, and not heard since
+  silent     VMs of a data centre were probed, none has answered, and nothing else was heard
+  quiet      an attempt elsewhere is overdue and nothing was heard from anywhere meanwhile
+  cut off    two data centres are dark or silent, or the only other one, and none was heard
+  suspected  another VM of the own data centre has said that it is cut off
+
+Flow: `tried`, `probed` and `heard` follow every attempt; `is_dark` and `is_cut_off` are asked
+before each choice and by the readiness of this VM. A VM that `is_quiet` probes the other data
+centres; probes are answered in milliseconds whatever replicas do, so that their silence is believed
+after `CUT_AFTER` in place of `DARK_AFTER`. A suspected VM counts as cut off until it hears another
+data centre; it probes them while `should_probe`, so that its own evidence decides.
+
+Guards: the VMs of a cut off data centre follow each other's mirrors, some of which have seen no cut
 yet. Where their word ended a suspicion, VMs were ready and unready by turns each second, and the
-balancer, which needs all of them unready, never sent callers elsewhere.
+balancer, which needs all of them unready, never sent callers elsewhere. A VM that has heard nothing
+since its start does not trust probes: after a loss of power its peers have not started either.
 
-Thresholds: `DARK_AFTER` of 0.4 s is ten times what an answer takes and over twice a replica's
-pause; a data centre in which all replicas are ten times as slow still answers within it. `TRIES` of
-3 keeps a single lost packet, or one crashed replica, from darkening a data centre. A wrong alarm
-ends with the next answer from outside, and a balancer that asks every second and counts two misses
-does not see one that short.
+Thresholds: `DARK_AFTER` is over twice a replica's pause; a data centre in which all replicas are
+ten times as slow still answers within it. `TRIES` of 3 keeps a single lost packet, or one crashed
+replica, from darkening a data centre. A wrong alarm ends with the next answer from outside, and a
+balancer that asks every second and counts two misses does not see one that short.
 """
 
 from __future__ import annotations
@@ -36,12 +40,21 @@
 DARK_AFTER: Final = 0.4
 TRIES: Final = 3
 
+QUIET_AFTER: Final = 0.08
+"""Seconds without a word from outside after which an attempt is overdue; most take half of it."""
+
+SILENT_AFTER: Final = 0.1
+CUT_AFTER: Final = 0.18
+"""Seconds after which probes are overdue, and seconds without a word for which their silence has to
+last."""
+
 
 @attrs.define
 class _Reached:
     heard_at: float = -math.inf
     tried_since: float = math.inf
     tries: int = 0
+    probed_since: float = math.inf
 
 
 class Reach:
@@ -63,6 +76,12 @@
             reached.tried_since = now
         reached.tries += 1
 
+    def probed(self, now: float, data_centre: str) -> None:
+        """Note a probe of VMs of a data centre."""
+        self.tried(now, data_centre)
+        reached = self._others[data_centre]
+        reached.probed_since = min(reached.probed_since, now)
+
     def heard(self, now: float, data_centre: str) -> None:
         """Note a sign of life from a data centre."""
         if data_centre == self._own:
@@ -70,7 +89,17 @@
         reached = self._others.setdefault(data_centre, _Reached())
         reached.heard_at = self._heard_at = now
         reached.tries = 0
-        reached.tried_since = math.inf
+        reached.tried_since = reached.probed_since = math.inf
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether an attempt elsewhere has not been followed by a word from there."""
+        return any(one.tries for one in self._others.values())
+
+    def is_quiet(self, now: float) -> bool:
+        """Return whether an attempt elsewhere is overdue and nothing was heard since it began."""
+        since = min((one.tried_since for one in self._others.values()), default=math.inf)
+        return math.isfinite(self._heard_at) and now - max(since, self._heard_at) >= QUIET_AFTER
 
     def is_dark(self, now: float, data_centre: str) -> bool:
         """Tell whether a data centre has been tried for some time and not heard since."""
@@ -99,11 +128,14 @@
         return suspected or self._sees_cut(now)
 
     def _sees_cut(self, now: float) -> bool:
-        if now - self._heard_at < DARK_AFTER:
-            return False
         # One that is dark may be the one that is cut off, while the others are seldom tried.
-        dark = sum(self.is_dark(now, name) for name in self._others)
-        return dark >= min(2, max(1, len(self._others)))
+        enough = min(2, max(1, len(self._others)))
+        unheard = now - self._heard_at
+        dark = (self.is_dark(now, name) for name in self._others)
+        if unheard >= DARK_AFTER and sum(dark) >= enough:
+            return True
+        silent = (now - one.probed_since >= SILENT_AFTER for one in self._others.values())
+        return CUT_AFTER <= unheard < math.inf and sum(silent) >= enough
 
     @property
     def others(self) -> tuple[str, ...]:
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -153,6 +153,7 @@
             vms=lambda: self.vms.entries,
             table=lambda: self.front.table,
             watches=lambda: not self.vms.watchers(),
+            is_followed=self.vms.is_watcher,
             prober=Prober(self._introduction, self._on_losses),
             now=loop.time,
             on_change=self._note_cut_off,
--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -65,11 +65,13 @@
     Attributes:
         behind_ms: how long it has not been in step.
         settling_ms: for how long entries that have gone may come back, after an outage.
+        cut_off: whether its VM reaches no other data centre and needs one.
     """
 
     revision: int
     behind_ms: int
     settling_ms: int = 0
+    cut_off: bool = False
     entries: tuple[StoredValue, ...] = ()
 
 
@@ -162,6 +164,7 @@
                     revision=self._revision,
                     behind_ms=self._behind_ms(),
                     settling_ms=self._settling_ms(),
+                    cut_off=self._cut_off,
                     entries=tuple(self._entries.values()),
                 )
             )
@@ -176,11 +179,11 @@
 
     async def _watch(self, query: dict[str, str]) -> MirrorChanges:
         after, wait = int(query.get("after", "0")), float(query.get("wait", "0"))
-        told_cut_off = self._cut_off
+        known_cut_off = query.get("cut_off") == "1"
         if self._revision <= after:
             try:
                 async with asyncio.timeout(min(wait, MOST_WAIT_S)):
-                    while self._revision <= after and self._cut_off == told_cut_off:
+                    while self._revision <= after and self._cut_off == known_cut_off:
                         await self._changed.wait()
             except TimeoutError:
                 pass
@@ -250,6 +253,7 @@
         if not told.revision:
             raise StoreAway("the mirror knows nothing")
         self.behind_ms, self.settling_ms = told.behind_ms, told.settling_ms
+        self.cut_off = told.cut_off
         found = tuple(entry for entry in told.entries if entry.key.startswith(prefix))
         return ListResult(revision=told.revision, entries=found)
 
@@ -257,6 +261,8 @@
         """Wait for changes under a prefix."""
         wait = min(wait, MOST_WAIT_S)
         query = {"after": str(after), "wait": f"{wait:.3f}", **self._introduction()}
+        if self.cut_off:
+            query["cut_off"] = "1"
         told: MirrorChanges = await self._get(
             WATCH_PATH, query, wait + WATCH_SLACK_S, MirrorChanges
         )
--- a/libs/forwarding/berylspindle_forwarding/outside.py
+++ b/libs/forwarding/berylspindle_forwarding/outside.py
@@ -4,10 +4,12 @@
   probe     a short question to a peer in another data centre, to see whether it can be reached
   again at home   a route whose shards, enough of them, have a replica in this VM's own data centre
 
-Flow: `run` looks ten times a second. A VM that is cut off says so at once, unless all routes can be
-served at home, and probes peers elsewhere until one answers. While all is well only a VM that no
-other one watches for probes, two data centres at a time, and so sees a cut before callers' requests
-show it. A VM that follows the mirror of one that is cut off is `told`, and suspects that it is too.
+Flow: `run` looks ten times a second, twice as often while an attempt elsewhere is out. A VM that is
+cut off says so at once, unless all routes can be served at home, and probes peers elsewhere until
+one answers. While all is well only a VM that no other one watches for probes, two data centres at a
+time, and so sees a cut before callers' requests show it. A VM that others follow also probes as
+soon as an attempt is overdue. A VM that follows the mirror of one that is cut off is `told`, and
+suspects that it is too.
 
 Guards: where twenty VMs share a data centre's callers, most of them see too few requests to notice
 a cut themselves; the balancer goes on sending callers to each that is ready, and needs all of them
@@ -30,6 +32,14 @@
 from berylspindle_model.routing import Route, RoutingTable
 
 LOOK_S: Final = 0.1
+LOOK_OUT_S: Final = 0.05
+"""Seconds between two looks, and while an attempt elsewhere is out."""
+
+CONFIRM_S: Final = 0.2
+CONFIRM_PROBES: Final = 2
+"""Seconds between two rounds of probes for overdue attempts, and VMs of each data centre that are
+probed: one may have just died."""
+
 SUSPECT_S: Final = 2.5
 """Seconds for which a suspicion lasts: the next word of a VM that is cut off comes within one."""
 
@@ -57,13 +67,16 @@
         vms: Callable[[], tuple[VmEntry, ...]],
         table: Callable[[], RoutingTable | None],
         watches: Callable[[], bool],
+        is_followed: Callable[[], bool],
         prober: Prober,
         now: Callable[[], float],
         on_change: Callable[[bool], None],
     ) -> None:
-        """Take also whether this VM probes while all is well."""
+        """Take also whether this VM probes while all is well, and for overdue attempts."""
         self._watches: Final = watches
+        self._is_followed: Final = is_followed
         self._watch_at = 0.0
+        self._confirm_at = 0.0
         self._prober: Final = prober
         self._reach: Final = reach
         self._book: Final = book
@@ -98,25 +111,36 @@
         elif source is self._suspected_by:
             self._suspected_by = None
             self._reach.end_suspicion()
+        self._update(now)
 
     async def run(self) -> None:
         """Look and probe until cancelled."""
-        while True:
-            await asyncio.sleep(LOOK_S)
-            now = self._now()
-            self._note(self._reach.is_cut_off(now) and not self._all_at_home())
-            if self._reach.should_probe(now):
-                await self._probe(self._peers())
-            elif self._watches() and now >= self._watch_at:
-                self._watch_at = now + WATCH_S
-                await self._watch()
-
-    def _note(self, cut_off: bool) -> None:
+        async with asyncio.TaskGroup() as probes:
+            while True:
+                await asyncio.sleep(LOOK_OUT_S if self._reach.is_waiting else LOOK_S)
+                now = self._now()
+                self._update(now)
+                if self._reach.should_probe(now):
+                    await self._probe(self._peers())
+                elif self._reach.is_quiet(now) and self._may_confirm(now):
+                    probes.create_task(self._confirm())
+                elif self._watches() and now >= self._watch_at:
+                    self._watch_at = now + WATCH_S
+                    probes.create_task(self._watch())
+
+    def _update(self, now: float) -> None:
+        cut_off = self._reach.is_cut_off(now) and not self._all_at_home()
         if cut_off == self.is_cut_off:
             return
-        self._since = self._now() if cut_off else None
+        self._since = now if cut_off else None
         self._on_change(cut_off)
 
+    def _may_confirm(self, now: float) -> bool:
+        if now < self._confirm_at or not self._is_followed():
+            return False
+        self._confirm_at = now + CONFIRM_S
+        return True
+
     async def close(self) -> None:
         """Close all connections."""
         await self._prober.close()
@@ -138,6 +162,15 @@
             if heard or not watched:
                 return
 
+    async def _confirm(self) -> None:
+        """Ask a few VMs of each other data centre at once."""
+        asked = (
+            self._probe_one(vm)
+            for found in self._peers().values()
+            for vm in random.sample(found, min(CONFIRM_PROBES, len(found)))
+        )
+        await asyncio.gather(*asked)
+
     async def _probe(self, peers: Mapping[str, list[VmEntry]]) -> bool:
         """Ask one VM of each of these data centres at once; return whether any has answered."""
         asked = [self._probe_one(self._choose(found)) for found in peers.values()]
@@ -148,7 +181,7 @@
         return random.choice(known or vms)
 
     async def _probe_one(self, vm: VmEntry) -> bool:
-        self._reach.tried(self._now(), vm.data_centre)
+        self._reach.probed(self._now(), vm.data_centre)
         if not await self._prober.answers(vm.host, vm.port, timeout=PROBE_S):
             return False
         self._reach.heard(self._now(), vm.data_centre)
--- a/libs/forwarding/berylspindle_forwarding/upstream_selector.py
+++ b/libs/forwarding/berylspindle_forwarding/upstream_selector.py
@@ -46,6 +46,10 @@
 STOPGAP_WAIT_S: Final = 0.3
 """Seconds that a watch of any VM's mirror waits: it may lag itself, and others are to be tried."""
 
+FAR_TRY_S: Final = 2.0
+"""Seconds between two tries of mirrors in other data centres while some here answer, but lag. Where
+this data centre is cut off too, each such try is a second in which nothing is heard here."""
+
 
 @attrs.frozen
 class MirrorAddress:
@@ -121,6 +125,8 @@
         self._away = False
         self._store_next = True
         self._passed_over: dict[MirrorAddress, float] = {}
+        self._lagging: set[MirrorAddress] = set()
+        self._far_try_at = 0.0
         self._current: tuple[MirrorAddress, MirrorStore] | None = None
         self._left: list[MirrorStore] = []
 
@@ -155,9 +161,12 @@
                 self._note_try()
             await self._leave()
         elif followed.behind_ms:
+            if self._current is not None:
+                self._lagging.add(self._current[0])
             await self._pass_over()
         elif self._current is not None:
             self._passed_over.pop(self._current[0], None)
+            self._lagging.clear()
             self._tries = 0
 
     async def failed(self, followed: Upstream) -> None:
@@ -169,6 +178,8 @@
                 self._store_try_at = self._now()
             self._store_until, self._is_try = 0.0, False
             return
+        if self._current is not None:
+            self._lagging.discard(self._current[0])
         await self._pass_over()
 
     async def close(self) -> None:
@@ -224,18 +235,26 @@
     def _mirror(self) -> MirrorStore | None:
         if self._current is not None:
             return self._current[1]
-        now = self._now()
-        known = [a for a in self._mirrors() if self._passed_over.get(a, now) <= now]
-        if not known:
-            # Better one that lags than none; all have been tried within the last seconds.
-            known = list(self._mirrors())
-        if not known:
+        address = self._choose_mirror()
+        if address is None:
             return None
-        near = [address for address in known if address.is_near]
-        address = self._rng.choice(near or known)
         self._current = (address, self._open(address))
         return self._current[1]
 
+    def _choose_mirror(self) -> MirrorAddress | None:
+        now, mirrors = self._now(), self._mirrors()
+        known = [a for a in mirrors if self._passed_over.get(a, now) <= now]
+        near = [a for a in known if a.is_near]
+        if near:
+            return self._rng.choice(near)
+        lagging = [a for a in mirrors if a.is_near and a in self._lagging]
+        if lagging and now < self._far_try_at:
+            return self._rng.choice(lagging)
+        self._far_try_at = now + FAR_TRY_S
+        # Better one that lags than none, where all have been tried within the last seconds.
+        candidates = known or mirrors
+        return self._rng.choice(candidates) if candidates else None
+
     async def _pass_over(self) -> None:
         if self._current is not None:
             self._passed_over[self._current[0]] = self._now() + PASSED_OVER_S
--- a/libs/forwarding/berylspindle_forwarding/vm_registry.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_registry.py
@@ -112,18 +112,26 @@
         The first watcher follows the store, each other one those before it, and all other VMs any
         of them. A VM whose own entry isn't known is a watcher only where there are too few.
         """
+        first = self._ranked_watchers()
+        if self._vm in first:
+            first = first[: first.index(self._vm)]
+        here = (self._vms[name] for name in first)
+        return tuple(MirrorAddress(vm.host, vm.port, True) for vm in here)
+
+    def is_watcher(self) -> bool:
+        """Return whether other VMs follow this one's mirror."""
+        return self._vm in self._ranked_watchers()
+
+    def _ranked_watchers(self) -> tuple[str, ...]:
         near = {name: vm for name, vm in self._vms.items() if vm.data_centre == self._data_centre}
         bears = {name: vm.bears for name, vm in near.items()}
         if len(near) < LEAST:
             bears[self._vm] = self._bears
-        first = watchers_of(
+        return watchers_of(
             bears,
             data_centre=self._data_centre,
             unannounced=sum(vm.followers for vm in near.values()),
         )
-        if self._vm in first:
-            first = first[: first.index(self._vm)]
-        return tuple(MirrorAddress(near[n].host, near[n].port, True) for n in first)
 
     def mergers(self) -> Mapping[str, VmEntry]:
         """Return the VMs that may merge this one's requests; a new mapping after each change."""
--- a/tests/decisions/test_load_reach.py
+++ b/tests/decisions/test_load_reach.py
@@ -112,3 +112,54 @@
     # The probes' own evidence still finds a cut that comes later.
     trying(reach, 6.0, 6.6, "b", "c")
     assert reach.is_cut_off(6.6)
+
+
+def probed_reach(now: float, *names: str) -> Reach:
+    """Return a reach that has heard each data centre and then probed them once."""
+    reach = Reach("a")
+    for name in names:
+        reach.heard(now, name)
+    for name in names:
+        reach.probed(now + 0.1, name)
+    return reach
+
+
+def test_silent_probes_show_a_cut_before_attempts_do() -> None:
+    """Guards against callers of a cut off data centre who are refused for a second more."""
+    reach = probed_reach(1.0, "b", "c", "d")
+    assert not reach.is_cut_off(1.15)
+    assert reach.is_cut_off(1.21)
+    assert not reach.is_dark(1.21, "b")
+    reach.heard(1.22, "d")
+    assert not reach.is_cut_off(1.25)
+
+
+def test_one_silent_data_centre_of_several_is_no_cut() -> None:
+    reach = probed_reach(1.0, "b", "c", "d")
+    reach.heard(1.11, "c")
+    reach.heard(1.12, "d")
+    assert not reach.is_cut_off(1.5)
+
+
+def test_a_vm_that_has_heard_nothing_since_its_start_does_not_trust_probes() -> None:
+    """Guards against VMs that refuse all callers after a loss of power: no peer listens yet."""
+    reach = Reach("a")
+    for name in "bc":
+        reach.probed(0.0, name)
+    assert not reach.is_quiet(0.3)
+    assert not reach.is_cut_off(0.3)
+
+
+def test_an_attempt_elsewhere_is_overdue_only_while_nothing_is_heard() -> None:
+    reach = Reach("a")
+    reach.heard(0.0, "b")
+    assert not reach.is_quiet(5.0)
+    reach.tried(5.0, "b")
+    reach.tried(5.01, "c")
+    assert not reach.is_quiet(5.05)
+    assert reach.is_quiet(5.1)
+    reach.heard(5.1, "c")
+    assert not reach.is_quiet(5.15)
+    assert reach.is_waiting
+    reach.heard(5.2, "b")
+    assert not reach.is_waiting
--- a/tests/forwarding/test_mirror.py
+++ b/tests/forwarding/test_mirror.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from forward_site import NoStore
 
 from berylspindle_forwarding.mirror import MOST_CHANGES, Mirror, MirrorStore
 from berylspindle_forwarding.upstream_selector import MirrorAddress, UpstreamSelector
@@ -119,3 +120,44 @@
     await choice.failed(choice.pick())
     assert [choice.pick().is_mirror for _ in range(3)] == [False] * 3
     await store.close()
+
+
+@pytest.mark.parametrize("first", ["list", "watch"])
+async def test_a_vm_that_starts_in_a_cut_off_data_centre_hears_of_it_at_once(first: str) -> None:
+    """Guards against one ready VM for whose sake a balancer goes on using a whole data centre."""
+    async with followed() as (mirror, store):
+        mirror.set_listed([entry("a", 3)], 3)
+        mirror.set_cut_off(True)
+        async with asyncio.timeout(2.0):
+            if first == "list":
+                await store.list("")
+            else:
+                await store.watch("", after=3, wait=5.0)
+        assert store.cut_off
+
+
+async def test_mirrors_here_are_read_on_while_they_lag_and_others_seldom() -> None:
+    """Guards against VMs of a cut off data centre that try others while news waits next door."""
+    clock = [0.0]
+    near = tuple(MirrorAddress("127.0.0.1", port, True) for port in (1, 2))
+    far = tuple(MirrorAddress("127.0.0.2", port) for port in range(1, 9))
+    choice = UpstreamSelector(
+        NoStore(), mirrors=lambda: (*near, *far), now=lambda: clock[0], rng=random.Random(5)
+    )
+    chosen = []
+    for _ in range(100):
+        followed = choice.pick()
+        if not followed.is_mirror:
+            await choice.failed(followed)
+            continue
+        assert isinstance(followed.store, MirrorStore)
+        followed.store.behind_ms = 1
+        address = choice._current[0] if choice._current is not None else None
+        chosen.append(address)
+        if address in near:
+            await choice.worked(followed)
+        else:
+            await choice.failed(followed)
+        clock[0] += 0.2
+    assert sum(address in far for address in chosen) <= 6
+    await choice.close()
