Find an answer of a new version slow beside the old version of the same service

Cause: the test over sockets rolled a sound version back in 3 of 4 runs beside busy processes. Now the median is that of the old version's own answers on the route; an attempt that nobody waits for counts only if it is slow by then.

--- a/libs/forwarding/berylspindle_forwarding/attempt_policy.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_policy.py
@@ -33,7 +33,6 @@
 from berylspindle_decisions.reach import Reach
 from berylspindle_decisions.replica_health import ReplicaHealth
 from berylspindle_decisions.shared_retry_budget import SharedBudgetOptions, SharedRetryBudget
-from berylspindle_decisions.version_judge import SLOW_RATIO
 from berylspindle_forwarding.crash_watch import CrashWatch
 from berylspindle_forwarding.dialect import HOP_HEADERS, Dialect
 from berylspindle_forwarding.replica_registry import ReplicaHandle, ReplicaRegistry
@@ -219,7 +218,7 @@
         self._tools.metrics.count(names.FORWARD_REPLIES, kind=verdict.value)
         if verdict in (ReplyClass.ANSWER, ReplyClass.FINAL):
             ratio = self._ratio(attempt, elapsed_ms)
-            self._note_version(attempt, is_bad=ratio >= SLOW_RATIO)
+            self._note_version(attempt, elapsed_ms)
             self._profile.add(elapsed_ms)
             self._learn_unqueued(attempt, elapsed_ms)
             health.answered(now, attempt, ratio=ratio)
@@ -232,7 +231,7 @@
             )
             self._tools.book.set_misplaced(attempt.handle)
         else:
-            self._note_version(attempt, is_bad=True)
+            self._note_version(attempt, None)
             if verdict is ReplyClass.FOREIGN:
                 self._tools.book.losses.lost(now, attempt.handle.replica.id)
             self._note_failed(now, attempt, verdict.value)
@@ -243,7 +242,7 @@
         if end.kind is EndKind.NOT_SENT:
             attempt.handle.health.withdrawn(attempt)
         else:
-            self._note_version(attempt, is_bad=True)
+            self._note_version(attempt, None)
             self._tools.book.losses.lost(now, attempt.handle.replica.id)
         self._note_failed(now, attempt, f"{end.kind.value} {end.detail}")
 
@@ -263,16 +262,15 @@
 
     def note_given_up(self, now: float, attempt: Attempt, elapsed_ms: float) -> None:
         """Learn from an attempt that nobody waits for any more."""
-        ratio = self._ratio(attempt, elapsed_ms)
-        if ratio >= SLOW_RATIO:
-            self._note_version(attempt, is_bad=True)
-        attempt.handle.health.given_up(now, attempt, ratio=ratio)
+        replica, ms = attempt.handle.replica, elapsed_ms / attempt.explained
+        self._tools.rollouts.note_abandoned(replica.service, self._route.name, replica.version, ms)
+        attempt.handle.health.given_up(now, attempt, ratio=self._ratio(attempt, elapsed_ms))
 
-    def _note_version(self, attempt: Attempt, *, is_bad: bool) -> None:
+    def _note_version(self, attempt: Attempt, elapsed_ms: float | None) -> None:
+        """Count the end of an attempt after so long, None where it failed."""
         replica = attempt.handle.replica
-        self._tools.rollouts.note_answer(
-            replica.service, self._route.name, replica.version, is_bad=is_bad
-        )
+        ms = None if elapsed_ms is None else elapsed_ms / attempt.explained
+        self._tools.rollouts.note_answer(replica.service, self._route.name, replica.version, ms)
 
     def _learn_unqueued(self, attempt: Attempt, elapsed_ms: float) -> None:
         """Learn what an attempt takes at a free replica.
--- a/libs/forwarding/berylspindle_forwarding/rollout_keeper.py
+++ b/libs/forwarding/berylspindle_forwarding/rollout_keeper.py
@@ -154,6 +154,7 @@
                 "version": order.version,
                 "stage": following.value,
                 "answers_are": verdict.value,
+                "answers": str(self._rollouts.counted(service)),
                 "elapsed_s": f"{elapsed:.1f}",
             },
         )
--- a/libs/forwarding/berylspindle_forwarding/rollouts.py
+++ b/libs/forwarding/berylspindle_forwarding/rollouts.py
@@ -26,13 +26,14 @@
 
 import attrs
 
+from berylspindle_decisions.latency_profile import LatencyProfile
 from berylspindle_decisions.rollout_plan import (
     ExposureBounds,
     Stage,
     caution,
     trial_share,
 )
-from berylspindle_decisions.version_judge import AnswerCounts, Verdict, judge
+from berylspindle_decisions.version_judge import SLOW_RATIO, AnswerCounts, Verdict, judge
 from berylspindle_model import codec
 from berylspindle_model.rollout import (
     RolloutAnswers,
@@ -67,6 +68,10 @@
     return defaultdict(AnswerCounts)
 
 
+def _profiles() -> defaultdict[str, LatencyProfile]:
+    return defaultdict(LatencyProfile)
+
+
 @attrs.define(kw_only=True)
 class _Rollout:
     """One service; `seen_at` is None while the age of the order isn't known."""
@@ -78,6 +83,7 @@
     shift_at: float = 0.0
     requests: int = 0
     routes: defaultdict[str, AnswerCounts] = attrs.field(factory=_counts)
+    usual: defaultdict[str, LatencyProfile] = attrs.field(factory=_profiles)
     records: dict[str, RolloutAnswers] = attrs.field(factory=dict)
     is_stopped: bool = False
 
@@ -98,11 +104,24 @@
         """Return whether something is still to be decided."""
         return self.order is not None and not self.stage.is_final
 
+    @property
+    def version(self) -> str:
+        """Return the version that is ordered, or was last."""
+        if self.order is not None:
+            return self.order.version
+        return self.status.version if self.status is not None else ""
+
+    def is_slow(self, route: str, ms: float) -> bool:
+        """Return whether an answer is slow beside those of the old version."""
+        usual = self.usual[route]
+        return usual.known and ms >= SLOW_RATIO * usual.quantile(0.5)
+
     def begin(self, order: RolloutOrder | None, seen_at: float | None) -> None:
         """Take a new order, or that there is none any more."""
         self.order, self.seen_at = order, seen_at
         self.requests, self.is_stopped = 0, False
         self.routes.clear()
+        self.usual.clear()
         self.records.clear()
 
 
@@ -163,12 +182,10 @@
     def rule(self, service: str) -> VersionRule | None:
         """Return which replicas of a service get its requests; None where any may."""
         known = self._services.get(service)
-        if known is None or (known.order is None and known.status is None):
+        if known is None or not known.version:
             return None
-        version = known.order.version if known.order is not None else ""
-        if not version and known.status is not None:
-            version = known.status.version
-        return VersionRule(version=version, is_used=known.stage in (Stage.SHIFT, Stage.COMPLETED))
+        is_used = known.stage in (Stage.SHIFT, Stage.COMPLETED)
+        return VersionRule(version=known.version, is_used=is_used)
 
     def takes_trial(self, service: str, *, u: float) -> bool:
         """Count a request to a service; return whether it goes to the new version on trial.
@@ -185,14 +202,31 @@
         share = trial_share(self._bounds, term=order.term, rate=self._rate(known), elapsed=elapsed)
         return u < share
 
-    def note_answer(self, service: str, route: str, version: str, *, is_bad: bool) -> None:
-        """Count an answer of a replica of this version."""
-        if service not in self._active:
-            return
-        known = self._services[service]
-        if known.order is None:
+    def note_answer(self, service: str, route: str, version: str, ms: float | None) -> None:
+        """Count an answer of a replica of this version.
+
+        `ms` is what it took beside the queue that it met; None where it failed. It is slow beside
+        answers of the old version of the same service: services of one route may differ.
+        """
+        known = self._counting(service)
+        if known is None:
             return
-        is_new = version == known.order.version
+        is_bad = ms is None or known.is_slow(route, ms)
+        if ms is not None and version != known.version:
+            known.usual[route].add(ms)
+        self._count(known, route, version, is_bad=is_bad)
+
+    def note_abandoned(self, service: str, route: str, version: str, ms: float) -> None:
+        """Count an attempt that nobody waited for any more, if it was slow by then."""
+        known = self._counting(service)
+        if known is not None and known.is_slow(route, ms):
+            self._count(known, route, version, is_bad=True)
+
+    def _counting(self, service: str) -> _Rollout | None:
+        return self._services[service] if service in self._active else None
+
+    def _count(self, known: _Rollout, route: str, version: str, *, is_bad: bool) -> None:
+        is_new = version == known.version
         known.routes[route].add(is_new=is_new, is_bad=is_bad)
         if is_new and is_bad:
             known.is_stopped = known.is_stopped or judge(known.routes) is Verdict.BAD
@@ -255,15 +289,23 @@
         """Return how far a rollout has come."""
         return self._services[service].stage
 
+    def counted(self, service: str) -> dict[str, tuple[int, int, int, int]]:
+        """Return the answers of all data centres by route, as `RolloutAnswers` holds them."""
+        return {name: attrs.astuple(one) for name, one in self._recorded(service).items()}
+
     def verdict(self, service: str) -> Verdict:
         """Return what the answers of all data centres say."""
         known = self._services[service]
+        term = known.order.term if known.order is not None else 0.0
+        care = caution(self._bounds, term=term, rate=self._rate(known))
+        return judge(self._recorded(service), care)
+
+    def _recorded(self, service: str) -> defaultdict[str, AnswerCounts]:
         routes = _counts()
-        for record in known.records.values():
+        for record in self._services[service].records.values():
             counts = ((name, AnswerCounts(*told)) for name, told in record.routes.items())
             _join(routes, counts)
-        term = known.order.term if known.order is not None else 0.0
-        return judge(routes, caution(self._bounds, term=term, rate=self._rate(known)))
+        return routes
 
     def _told(self, service: str, order: int, with_sums: bool) -> Iterable[RolloutAnswers]:
         oldest = self._now() - REPORT_S
--- a/tests/platform_adapter/test_rollout.py
+++ b/tests/platform_adapter/test_rollout.py
@@ -13,6 +13,8 @@
 SERVICE = "s1"
 TERM_S = 6
 CALLERS = 6
+WORK_S = 0.02
+"""What an answer takes, so that a busy machine's milliseconds do not make it a slow one."""
 STATUS = f"status/rollout/{SERVICE}"
 
 
@@ -49,6 +51,7 @@
     """Order a move to v2; return the replicas of v1 and those of v2."""
     old = [r for r in platform.replicas.values() if r.service == SERVICE]
     for replica in old:
+        replica.behaviour.work = WORK_S
         platform.announce(replica, version="v1")
     platform.kv.put(
         f"op/rollout/{SERVICE}",
@@ -58,6 +61,7 @@
     for number in range(2):
         replica = await start_replica(f"i-new-{number}", SERVICE, dialect=DIALECT)
         platform.stack.push_async_callback(replica.close)
+        replica.behaviour.work = WORK_S
         replica.behaviour.fail = 10**6 if fails else 0
         platform.announce(replica, version="v2")
         new.append(replica)
