End an idle connection at the moment it is found idle

A draining server closes connections that were idle for a quarter of a second. It asked the kernel for unread input, then closed the transport, which closes the socket only in the next turn of the loop: what the peer sends within this turn is reset, though the peer asks the kernel before it uses an idle connection again. On a busy machine a turn takes milliseconds.

Change: the end is sent at once, what crosses it is read and dropped, and the socket is closed when the peer has closed or after a second. The new test fails on the code before. In the test of an idle bound the assertion moves from close to the end of output, which is now what the peer sees; it is as strict.

--- a/libs/wire/berylspindle_wire/http_session.py
+++ b/libs/wire/berylspindle_wire/http_session.py
@@ -79,6 +79,10 @@
     """The peer closed or reset the connection between requests or within one."""
 
 
+class _IdleTooLongError(Exception):
+    """The peer has been told that the connection is over, since it was idle."""
+
+
 class HttpSession(asyncio.Protocol):
     """Serve one connection.
 
@@ -111,6 +115,7 @@
         self._paused = False
         self._handling = False
         self._slow = False
+        self._is_over = False
         self._idle_since: float | None = self._loop.time()
         self._reading_since: float | None = None
         self._writing_since: float | None = None
@@ -176,7 +181,18 @@
             self._slow = True
             self._wake()
         elif _older(self._idle_since, now, idle_bound) and not self._has_input():
-            self._transport.close()
+            self._end_idle()
+
+    def _end_idle(self) -> None:
+        """Tell the peer at once that nothing more is read here.
+
+        A transport closes its socket in the next turn of the loop only. Whatever the peer sends
+        within this one would be reset, though it had asked the kernel whether the connection lasts.
+        """
+        self._is_over = True
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._wake()
 
     def _has_input(self) -> bool:
         """Tell whether a request has come that the task has not yet seen.
@@ -226,6 +242,8 @@
             await self._linger()
         except RequestFault as fault:
             await self._give_up(fault.refusal)
+        except _IdleTooLongError:
+            await self._linger()
         except _PeerGoneError:
             pass
         except asyncio.CancelledError:
@@ -286,6 +304,8 @@
             self._waiter = None
         if self._slow:
             raise RequestFault(Refusal(ErrorKind.SLOW_SENDER))
+        if self._is_over and not self._discarding:
+            raise _IdleTooLongError
 
     async def _read_request(self) -> HttpRequest:
         self._is_head = False
--- a/tests/wire/test_http_server.py
+++ b/tests/wire/test_http_server.py
@@ -13,6 +13,7 @@
 from berylspindle_wire.client import HttpClient
 from berylspindle_wire.http import HttpLimits, HttpRequest, HttpResponse, json_response
 from berylspindle_wire.http_server import HttpServer, serve
+from berylspindle_wire.sockets import has_ended
 
 LIMITS = HttpLimits(header_bytes=2048, body_bytes=64, read_timeout=0.3, connections=4)
 GET = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -192,6 +193,23 @@
         writer.close()
 
 
+async def test_a_peer_sees_the_end_of_an_idle_connection_as_soon_as_it_is_decided():
+    """Guards against a reset of what a peer sends in the same turn of the server's loop."""
+    async with await start() as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(GET)
+        assert status_of(await reader.readuntil(b"\r\n")) == 200
+        (session,) = server._sessions
+        peer = writer.get_extra_info("socket")
+        assert not has_ended(peer)
+        session.check_time(asyncio.get_running_loop().time() + 60.0, 0.25)
+        assert has_ended(peer)
+        # What crosses the end is read and dropped, and does not end in a reset.
+        writer.write(GET)
+        await reader.read()
+        writer.close()
+
+
 async def test_idle_connection_is_closed():
     limits = HttpLimits(idle_timeout=0.2)
     async with await start(limits=limits) as server:
--- a/tests/wire/test_http_session.py
+++ b/tests/wire/test_http_session.py
@@ -39,11 +39,12 @@
     await asyncio.sleep(0)
     session.data_received(GET)
     session.check_time(asyncio.get_running_loop().time() + 100, 0.25)
+    assert not transport.write_eof.called
     assert not transport.close.called
     await asyncio.sleep(0.01)
     assert b"GET /a" in transport.write.call_args.args[0]
     session.check_time(asyncio.get_running_loop().time() + 100, 0.25)
-    assert transport.close.called
+    assert transport.write_eof.called
 
 
 async def test_caller_gone_cancels_the_handler_once():
