--- a/libs/decisions/berylspindle_decisions/forward_policy.py
+++ b/libs/decisions/berylspindle_decisions/forward_policy.py
@@ -51,8 +51,6 @@
     subsets: bool = True
     # What may not be repeated avoids replicas that lost answers of any VM; off, of this one alone.
     shares_losses: bool = True
-    # Searches that can't be in time any more go after those that can; off, first come first.
-    late_last: bool = True
     # A service without a usable replica is waited for; off, its callers are told at once.
     wait_for_replica: bool = True
 
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -9,15 +9,13 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 from functools import partial
 from typing import Final
 
 import attrs
 
 from berylspindle_decisions.answer_time import MARGIN_MS, NEW_CONNECTION_MS
-from berylspindle_decisions.late_queue import WAIT_SHARE, LateQueue, is_overdue
 from berylspindle_decisions.quarantine import RunMode
 from berylspindle_decisions.weighted_turns import WeightedTurns
 from berylspindle_forwarding.attempt_policy import DriveTimes, ForwardTools
@@ -72,17 +70,6 @@
     times: DriveTimes
     waited_ms: float
 
-    @property
-    def is_overdue(self) -> bool:
-        """Return whether the request can hardly be in time any more (`decisions.late_queue`)."""
-        if self.forward.relayed is not None:
-            return self.forward.relayed.is_overdue
-        return self.waited_ms > 0.0 or is_overdue(
-            timeout_ms=self.route.timeout_ms,
-            left_ms=self.forward.left_ms,
-            target_ms=self.route.aim_ms,
-        )
-
     @property
     def relay_times(self) -> RelayTimes:
         """Return the bounds of the request for another VM."""
@@ -91,7 +78,6 @@
             aim=self.times.started + self.route.aim_ms / 1000,
             deadline=self.times.deadline,
             answer_by=self.times.answer_by,
-            is_overdue=self.is_overdue,
         )
 
 
@@ -107,7 +93,6 @@
         self._table_known: Final = asyncio.Event()
         self._turns: dict[str, tuple[Route, WeightedTurns]] = {}
         self._in_flight = 0
-        self._late: Final[LateQueue[asyncio.Future[None]]] = LateQueue()
         self.last_request = float("-inf")
         self._requests: Final = RequestLog(tools.metrics, tools.now, self._beliefs)
 
@@ -156,47 +141,10 @@
                 passed = await self._passed_on(routed)
                 if passed is not None:
                     return passed
-            if route.shard_set is None or not routed.is_overdue:
-                return await self._drive(routed)
-            async with self._turn(routed):
-                return await self._drive(routed)
+            return await self._drive(routed)
         finally:
             self._in_flight -= 1
 
-    @asynccontextmanager
-    async def _turn(self, routed: Routed) -> AsyncIterator[None]:
-        """Wait until an overdue search goes on, and let another one do so at its end."""
-        if not self._tools.policy.late_last:
-            yield
-            return
-        if not self._late.begin():
-            await self._wait_turn(routed)
-        try:
-            yield
-        finally:
-            self._end_turn()
-
-    async def _wait_turn(self, routed: Routed) -> None:
-        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._late.push(turn)
-        left = routed.times.deadline - self._tools.now()
-        try:
-            await asyncio.wait((turn,), timeout=WAIT_SHARE * left)
-        except asyncio.CancelledError:
-            if turn.done():
-                self._end_turn()
-            else:
-                self._late.remove(turn)
-            raise
-        if not turn.done():
-            self._late.remove(turn)
-            self._late.begin(forced=True)
-
-    def _end_turn(self) -> None:
-        following = self._late.end()
-        if following is not None:
-            following.set_result(None)
-
     async def _await_table(self, forward: ForwardRequest) -> float:
         """Wait for the first routing table; return for how many milliseconds."""
         began = self._tools.now()
--- a/libs/forwarding/berylspindle_forwarding/relay.py
+++ b/libs/forwarding/berylspindle_forwarding/relay.py
@@ -37,7 +37,6 @@
 from berylspindle_forwarding.request_head import (
     RELAY_AIM,
     RELAY_LOAD,
-    RELAY_OVERDUE,
     RELAY_SHARDS,
     RELAY_TABLE,
     RELAY_UNRUN,
@@ -78,16 +77,12 @@
 
 @attrs.frozen(kw_only=True)
 class RelayTimes:
-    """The bounds of a request that is passed on, in seconds of the loop's clock.
-
-    `is_overdue` says that it is late already (`decisions.late_queue`).
-    """
+    """The bounds of a request that is passed on, in seconds of the loop's clock."""
 
     aim_cut: float
     aim: float
     deadline: float
     answer_by: float
-    is_overdue: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -304,10 +299,7 @@
             (RELAY_AIM, b"%d" % aim_ms),
         ]
         if positions:
-            # Part of a search that has had its turn: two VMs would wait for each other's.
             headers.append((RELAY_SHARDS, pack_positions(positions)))
-        elif times.is_overdue:
-            headers.append((RELAY_OVERDUE, b"1"))
         return ExchangeRequest(forward.method, forward.target, tuple(headers), forward.body)
 
     def _pool(self, vm: VmEntry) -> ReplicaPool:
--- a/libs/forwarding/berylspindle_forwarding/request_head.py
+++ b/libs/forwarding/berylspindle_forwarding/request_head.py
@@ -23,12 +23,11 @@
 RELAY_TABLE: Final = b"x-relay-table"
 RELAY_AIM: Final = b"x-relay-aim-ms"
 RELAY_SHARDS: Final = b"x-relay-shards"
-RELAY_OVERDUE: Final = b"x-relay-overdue"
 RELAY_LOAD: Final = b"x-relay-load"
 RELAY_UNRUN: Final = b"x-relay-unrun"
-"""Headers between VMs: the origin's table version, the time to its aim, the shards that are asked
-for where these are not all, and that it is overdue; the merger's work under way, and its word that
-it has not begun the request."""
+"""Headers between VMs: the origin's table version, the time to its aim, and the shards that are
+asked for where these are not all; the merger's work under way, and its word that it has not begun
+the request."""
 
 
 @attrs.frozen
@@ -41,7 +40,6 @@
     table: int
     aim_ms: float
     shards: tuple[int, ...] = ()
-    is_overdue: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -71,7 +69,6 @@
     request_id, left_ms, host = b"", None, ""
     relay_table, relay_aim = None, None
     relay_shards: tuple[int, ...] = ()
-    relay_overdue = False
     passed_on: list[tuple[bytes, bytes]] = []
     hop = set(HOP_HEADERS)
     for name, value in request.raw_headers:
@@ -93,9 +90,6 @@
         if name == RELAY_SHARDS:
             relay_shards = unpack_positions(value)
             continue
-        if name == RELAY_OVERDUE:
-            relay_overdue = True
-            continue
         if name == dialect.request_id:
             request_id = value
         elif name == b"host":
@@ -111,7 +105,7 @@
         passed_on=tuple(passed_on),
         body=request.body,
         relayed=(
-            Relayed(relay_table, relay_aim, relay_shards, relay_overdue)
+            Relayed(relay_table, relay_aim, relay_shards)
             if relay_table is not None and relay_aim is not None
             else None
         ),
