--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 check: setup
 	$(BIN)/black -q --check libs platform tests
 	$(BIN)/ruff check -q libs platform tests
+	$(BIN)/python -m berylspindle_bench.page_links
 
 types: setup
 	$(BIN)/mypy $(foreach lib,$(LIBS) adapter,-p berylspindle_$(lib))
