Judge a new version by sound evidence, and keep its trial within the exposure in a burst

Change: the control is the better half of the old replicas' answers, which are counted by replica; each VM stays within the exposure of its own requests and its part of the slack (may_try); only whole replies are evidence, none of a cold replica, and silence only where the data centre was heard; a record never falls; an order for the version in force is completed at once. Answers are shown as a metric.

Not built: a second replica on trial (docs/design/ROLLOUTS.md).

--- a/libs/decisions/berylspindle_decisions/reach.py
+++ b/libs/decisions/berylspindle_decisions/reach.py
@@ -108,6 +108,13 @@
             return False
         return reached.tries >= TRIES and now - reached.tried_since >= DARK_AFTER
 
+    def heard_since(self, data_centre: str, at: float) -> bool:
+        """Return whether a data centre gave a sign of life since; the own one always has."""
+        if data_centre == self._own:
+            return True
+        reached = self._others.get(data_centre)
+        return reached is not None and reached.heard_at >= at
+
     def suspect(self, now: float, *, until: float) -> None:
         """Note that another VM of the own data centre has said that it is cut off."""
         if now >= self._suspected_until:
--- a/libs/decisions/berylspindle_decisions/rollout_plan.py
+++ b/libs/decisions/berylspindle_decisions/rollout_plan.py
@@ -35,9 +35,13 @@
 part of the term that they take at most: other VMs hear of the shift within one, and what is under
 way at the old replicas ends."""
 
-SLACK_TRIED: Final = 0.8
+SLACK_TRIED: Final = 0.6
 """Part of the slack that the trial uses, beside the exposure's share of the requests."""
 
+SLACK_AFTER_S: Final = 4.5
+"""Seconds after the order from which VMs share the slack by what all have had: three times as long
+as counts take, so that those known are at least two thirds."""
+
 MOST_TRIED: Final = 0.5
 """Share of the requests that a trial takes at most, where few requests come."""
 
@@ -78,16 +82,40 @@
     if elapsed >= LATEST * term:
         return 0.0
     share = bounds.share
-    if rate > 0.0:
-        share += SLACK_TRIED * bounds.slack / (rate * max(1.0, term * LATEST))
+    if rate > 0.0 and elapsed >= SLACK_AFTER_S:
+        share += SLACK_TRIED * bounds.slack / (rate * max(1.0, term * LATEST - SLACK_AFTER_S))
     share = min(MOST_TRIED, share)
     if 2 * share > MOST_TRIED:
         return share
     return 2 * share if int(elapsed / PULSE_S) % 2 else 0.0
 
 
+def may_try(
+    bounds: ExposureBounds,
+    *,
+    elapsed: float,
+    requests: int,
+    tried: int,
+    of_all: int,
+    dither: float,
+) -> bool:
+    """Return whether a VM may send the new version one more of its requests.
+
+    `requests` and `tried` are the VM's own so far; `of_all` those to the service that all VMs are
+    known to have had; `elapsed` are seconds since the order; `dither` in [0, 1) is drawn once by
+    each VM, so that parts of a request add up.
+
+    Guard: `trial_share` goes by the usual rate, and in a burst would spend the slack many times.
+    Here each VM stays within the exposure of its own requests, and its part of the slack.
+    """
+    allowed = bounds.share * requests
+    if of_all and elapsed >= SLACK_AFTER_S:
+        allowed += SLACK_TRIED * bounds.slack * min(1.0, requests / of_all)
+    return tried + dither <= allowed
+
+
 def caution(bounds: ExposureBounds, *, term: float, rate: float) -> Caution:
-    """Return how sure to be of a new version; arguments as for `trial_share`."""
+    """Return how sure to be of a new version of a service with `rate` requests a second."""
     return LENIENT if 0.0 < rate * term <= bounds.slack else STRICT
 
 
--- a/libs/decisions/berylspindle_decisions/version_judge.py
+++ b/libs/decisions/berylspindle_decisions/version_judge.py
@@ -6,13 +6,17 @@
 looks bad in each such trouble; judged by the total, one that fails on a single route looks sound.
 
 Terms:
-  control   answers of the old version over the same time
+  control   answers of the old version over the same time, of the better half of its replicas
   bad       an answer that failed, or took `SLOW_RATIO` times the control's median
   evidence  likelihood ratio of a version that is worse than the control to one that is not
 
 Flow: VMs count answers by route (`AnswerCounts`); `judge` looks at each route and at all together,
 as often as it is asked. The evidence is a mixture over how much worse the version may be, so that
 looking often does not make a sound version look bad (a mixture sequential probability ratio test).
+
+Guard: an old replica that is slow or fails would make a bad version look as good as the old one,
+and everybody would be moved to it. So only those old replicas count that answer best and have given
+half of the answers.
 """
 
 from __future__ import annotations
@@ -24,6 +28,8 @@
 
 import attrs
 
+from berylspindle_model.rollout import AnswerCounts
+
 SLOW_RATIO: Final = 2.5
 """Latency over the control's median from which an answer counts as bad."""
 
@@ -33,6 +39,9 @@
 FALSE_ALARM: Final = 0.01
 """Chance that a version as good as the control is ever found bad, over all routes."""
 
+CONTROL_SHARE: Final = 0.5
+"""Part of the old version's answers that the control holds at least."""
+
 LEAST_ANSWERS: Final = 5
 """Answers of the new version without which it is not found sound."""
 
@@ -55,32 +64,6 @@
 """What the control counts as before it has answered: a pause now and then."""
 
 
-@attrs.define
-class AnswerCounts:
-    """Answers on one route, by version: all and the bad ones."""
-
-    new: int = 0
-    new_bad: int = 0
-    old: int = 0
-    old_bad: int = 0
-
-    def add(self, *, is_new: bool, is_bad: bool) -> None:
-        """Count one answer."""
-        if is_new:
-            self.new += 1
-            self.new_bad += is_bad
-        else:
-            self.old += 1
-            self.old_bad += is_bad
-
-    def join(self, other: AnswerCounts) -> None:
-        """Add the counts of another VM."""
-        self.new += other.new
-        self.new_bad += other.new_bad
-        self.old += other.old
-        self.old_bad += other.old_bad
-
-
 class Verdict(enum.Enum):
     """What the answers say of the new version."""
 
@@ -89,6 +72,20 @@
     BAD = "bad"
 
 
+def control_of(counts: AnswerCounts) -> tuple[int, int]:
+    """Return all and the bad answers of the old replicas that count."""
+    by_share = sorted(
+        counts.old.values(), key=lambda one: (one[1] + _PRIOR_BAD) / (one[0] + _PRIOR_ANSWERS)
+    )
+    enough = CONTROL_SHARE * sum(answers for answers, _ in by_share)
+    answers = bad = 0
+    for more, more_bad in by_share:
+        if answers >= enough:
+            break
+        answers, bad = answers + more, bad + more_bad
+    return answers, bad
+
+
 def judge(routes: Mapping[str, AnswerCounts], caution: Caution = STRICT) -> Verdict:
     """Return what the answers of all VMs so far, by route, say of the new version."""
     total = AnswerCounts()
@@ -104,7 +101,8 @@
 
 
 def _evidence(counts: AnswerCounts) -> float:
-    share = (counts.old_bad + _PRIOR_BAD) / (counts.old + _PRIOR_ANSWERS)
+    answers, bad = control_of(counts)
+    share = (bad + _PRIOR_BAD) / (answers + _PRIOR_ANSWERS)
     ratios = [_likelihood_ratio(counts, share, min(0.95, share + worse)) for worse in WORSE_BY]
     return sum(ratios) / len(ratios)
 
--- a/libs/forwarding/berylspindle_forwarding/attempt_policy.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_policy.py
@@ -218,7 +218,7 @@
         self._tools.metrics.count(names.FORWARD_REPLIES, kind=verdict.value)
         if verdict in (ReplyClass.ANSWER, ReplyClass.FINAL):
             ratio = self._ratio(attempt, elapsed_ms)
-            self._note_version(attempt, elapsed_ms)
+            self._note_version(now, attempt, elapsed_ms)
             self._profile.add(elapsed_ms)
             self._learn_unqueued(attempt, elapsed_ms)
             health.answered(now, attempt, ratio=ratio)
@@ -231,9 +231,10 @@
             )
             self._tools.book.set_misplaced(attempt.handle)
         else:
-            self._note_version(attempt, None)
             if verdict is ReplyClass.FOREIGN:
                 self._tools.book.losses.lost(now, attempt.handle.replica.id)
+            else:
+                self._note_version(now, attempt, None)
             self._note_failed(now, attempt, verdict.value)
 
     def note_end(self, now: float, attempt: Attempt, end: ExchangeEnd) -> None:
@@ -242,7 +243,6 @@
         if end.kind is EndKind.NOT_SENT:
             attempt.handle.health.withdrawn(attempt)
         else:
-            self._note_version(attempt, None)
             self._tools.book.losses.lost(now, attempt.handle.replica.id)
         self._note_failed(now, attempt, f"{end.kind.value} {end.detail}")
 
@@ -263,14 +263,23 @@
     def note_given_up(self, now: float, attempt: Attempt, elapsed_ms: float) -> None:
         """Learn from an attempt that nobody waits for any more."""
         replica, ms = attempt.handle.replica, elapsed_ms / attempt.explained
-        self._tools.rollouts.note_abandoned(replica.service, self._route.name, replica.version, ms)
+        is_cold = now < attempt.handle.health.cold_until
+        sent_at = now - elapsed_ms / 1000
+        if not is_cold and self._tools.reach.heard_since(replica.data_centre, sent_at):
+            self._tools.rollouts.note_abandoned(replica, self._route.name, ms)
         attempt.handle.health.given_up(now, attempt, ratio=self._ratio(attempt, elapsed_ms))
 
-    def _note_version(self, attempt: Attempt, elapsed_ms: float | None) -> None:
-        """Count the end of an attempt after so long, None where it failed."""
+    def _note_version(self, now: float, attempt: Attempt, elapsed_ms: float | None) -> None:
+        """Count a reply after so long, None where it is a failure.
+
+        A cold replica is slow, or drops what it can't bear, whatever its version; nor does a lost
+        or spoiled reply say anything of it.
+        """
+        if now < attempt.handle.health.cold_until:
+            return
         replica = attempt.handle.replica
         ms = None if elapsed_ms is None else elapsed_ms / attempt.explained
-        self._tools.rollouts.note_answer(replica.service, self._route.name, replica.version, ms)
+        self._tools.rollouts.note_answer(replica, self._route.name, ms)
 
     def _learn_unqueued(self, attempt: Attempt, elapsed_ms: float) -> None:
         """Learn what an attempt takes at a free replica.
--- a/libs/forwarding/berylspindle_forwarding/forward_daemon.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_daemon.py
@@ -34,7 +34,8 @@
 
 from berylspindle_decisions.log_rate_limiter import LineKind, LogRateLimiter
 from berylspindle_forwarding.catalogue import CatalogueReader
-from berylspindle_forwarding.forwarder import Forwarder, ForwardOptions, open_forwarder
+from berylspindle_forwarding.forward_options import ForwardOptions
+from berylspindle_forwarding.forwarder import Forwarder, open_forwarder
 from berylspindle_forwarding.front import refusal_reply
 from berylspindle_model.errors import Refusal
 from berylspindle_store.store import Store
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -13,14 +13,10 @@
 from contextlib import AsyncExitStack
 from typing import Final
 
-import attrs
-
 from berylspindle_decisions.admission_controller import AdmissionController
-from berylspindle_decisions.forward_policy import ForwardPolicy, switched_off
+from berylspindle_decisions.forward_policy import switched_off
 from berylspindle_decisions.quarantine import FirstSeen, Quarantine, QuarantineOptions
 from berylspindle_decisions.reach import Reach
-from berylspindle_decisions.rollout_plan import ExposureBounds
-from berylspindle_decisions.shared_retry_budget import SharedBudgetOptions
 from berylspindle_forwarding.attempt_policy import ForwardTools
 from berylspindle_forwarding.catalogue import (
     AnswersChange,
@@ -28,12 +24,9 @@
     CatalogueListener,
     CatalogueReader,
     Change,
-    OrderChange,
     OutChange,
     ReplicaChange,
     RolloutChange,
-    ShiftChange,
-    StatusChange,
     SuspectChange,
     TableChange,
     Unreadable,
@@ -42,15 +35,16 @@
 )
 from berylspindle_forwarding.crash_watch import CrashWatch
 from berylspindle_forwarding.dialect import Dialect
+from berylspindle_forwarding.forward_options import ForwardOptions
 from berylspindle_forwarding.front import Front
 from berylspindle_forwarding.mirror import Mirror, pack_losses
 from berylspindle_forwarding.outside import Outside
 from berylspindle_forwarding.relay import Relay
-from berylspindle_forwarding.replica_pool import PoolOptions
-from berylspindle_forwarding.replica_registry import ColdBounds, ReplicaRegistry
-from berylspindle_forwarding.rollout_keeper import RolloutEntries, RolloutKeeper
+from berylspindle_forwarding.replica_registry import ReplicaRegistry
+from berylspindle_forwarding.rollout_changes import show_answers, take_change
+from berylspindle_forwarding.rollout_keeper import RolloutKeeper
 from berylspindle_forwarding.rollouts import Rollouts
-from berylspindle_forwarding.upstream_selector import MirrorAddress, UpstreamSelector
+from berylspindle_forwarding.upstream_selector import UpstreamSelector
 from berylspindle_forwarding.vm_announcer import VmAnnouncer
 from berylspindle_forwarding.vm_probe import Prober
 from berylspindle_forwarding.vm_registry import VmRegistry
@@ -69,47 +63,6 @@
 """Seconds after a caller's request in which this VM counts as used."""
 
 
-@attrs.frozen(kw_only=True)
-class ForwardOptions:
-    """Settings of forwarding on one VM.
-
-    Attributes:
-        peers: where this VM's mirror is read, or None; `seeds` are those of some others.
-        announce_key: key of this VM's entry in the store, or empty.
-        announced_here: VMs of a data centre that have entries, the biggest ones; the others follow
-            them without.
-        suspects_prefix: prefix of the keys of requests that crash replicas, or empty.
-        callers_port: where this VM takes requests of others, or 0.
-        bears: what this VM can work on (`decisions.relay_choice`).
-        first_start: whether all VMs of the system start now, for the first time.
-        expected_vms: VMs that share budgets and connections while fewer are known.
-        extra: the bound on hedges and retries of all VMs together.
-        cold: the bound on requests to a cold replica.
-        exposure: the bound on requests to a version that is bad.
-        rollout_entries: where entries of rollouts lie, or None where none are ordered.
-        policy: which decisions are on.
-    """
-
-    vm: str
-    data_centre: str
-    peers: MirrorAddress | None = None
-    seeds: tuple[MirrorAddress, ...] = ()
-    announce_key: str = ""
-    announced_here: int = 3
-    suspects_prefix: str = ""
-    callers_port: int = 0
-    bears: float = 1.0
-    first_start: bool = False
-    expected_vms: int = 8
-    dialect: Dialect = attrs.field(factory=Dialect)
-    extra: SharedBudgetOptions = attrs.field(factory=SharedBudgetOptions)
-    cold: ColdBounds = attrs.field(factory=ColdBounds)
-    exposure: ExposureBounds = attrs.field(factory=ExposureBounds)
-    rollout_entries: RolloutEntries | None = None
-    pool: PoolOptions = attrs.field(factory=PoolOptions)
-    policy: ForwardPolicy = attrs.field(factory=ForwardPolicy)
-
-
 class Forwarder(CatalogueListener):
     """Forwarding on one VM; made by `open_forwarder`."""
 
@@ -137,7 +90,10 @@
         self._reach: Final = Reach(options.data_centre)
         self.on_cut_off: Callable[[bool], None] = lambda cut_off: None
         self.rollouts: Final = Rollouts(
-            options.exposure, now=loop.time, on_change=lambda: self.book.follow_versions()
+            options.exposure,
+            now=loop.time,
+            on_change=lambda: self.book.follow_versions(),
+            dither=random.random(),
         )
         self.book: Final = _book(options, self.vms, self._reach, self.rollouts, metrics)
         self._crashes: Final = CrashWatch(
@@ -261,7 +217,7 @@
         elif isinstance(change, Unreadable):
             self._note_unreadable(change)
         else:
-            self._take_rollout(change)
+            self._on_rollout(change)
 
     def on_listed(self) -> None:
         """Take that all that there is has been told."""
@@ -338,18 +294,13 @@
         message = "VM announced" if change.vm is not None else "VM gone"
         self._log_entry(message, id=change.id, vms=len(self.vms))
 
-    def _take_rollout(self, change: RolloutChange) -> None:
-        if isinstance(change, OrderChange):
-            self.rollouts.take_order(change.service, change.order, is_new=self._listed.is_set())
-        elif isinstance(change, StatusChange):
-            self.rollouts.take_status(change.service, change.status)
-        elif isinstance(change, ShiftChange):
-            self.rollouts.take_shift(change.service, change.shift)
-        else:
-            self.rollouts.take_record(change.service, change.data_centre, change.answers)
-        if not isinstance(change, AnswersChange):
-            stage = self.rollouts.stage(change.service)
-            self._log_entry("rollout", service=change.service, stage=stage.value)
+    def _on_rollout(self, change: RolloutChange) -> None:
+        take_change(self.rollouts, change, is_new=self._listed.is_set())
+        if isinstance(change, AnswersChange):
+            show_answers(self._metrics, self.rollouts, change.service)
+            return
+        stage = self.rollouts.stage(change.service)
+        self._log_entry("rollout", service=change.service, stage=stage.value)
 
     def _make_keeper(self, store: Store) -> RolloutKeeper | None:
         entries = self._options.rollout_entries
@@ -361,6 +312,7 @@
             entries,
             data_centre=self._options.data_centre,
             entry=self.mirror.entry,
+            versions=self.book.versions,
             is_keeper=lambda: self._choice.follows_store,
             now=asyncio.get_running_loop().time,
         )
--- a/libs/forwarding/berylspindle_forwarding/replica_registry.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_registry.py
@@ -185,6 +185,14 @@
         ]
         return min(tried, key=lambda handle: handle.replica.id, default=None)
 
+    def versions(self, service: str) -> set[str]:
+        """Return the versions of a service that replicas have announced."""
+        return {
+            handle.replica.version
+            for handle in self._handles.values()
+            if handle.replica.service == service
+        }
+
     def follow_versions(self) -> None:
         """Take that other versions may get requests now."""
         self._forget_choices()
@@ -194,8 +202,10 @@
         if rule is None:
             return sound
         usable = tuple(h for h in sound if (h.replica.version == rule.version) == rule.is_used)
-        # The version that everybody was moved to may be gone; the one on trial is no stopgap.
-        return usable or (sound if rule.is_used else ())
+        # The version that everybody was moved to may be gone; the one on trial is no stopgap,
+        # unless nobody runs another one: an order for the version that is in force.
+        is_only = self.versions(service) == {rule.version}
+        return usable or (sound if rule.is_used or is_only else ())
 
     def _sound(self, service: str) -> tuple[ReplicaHandle, ...]:
         return tuple(
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/rollout_changes.py
@@ -0,0 +1,41 @@
+"""Hand the catalogue's changes to the rollouts of this VM, and show in metrics what is known."""
+
+from __future__ import annotations
+
+from berylspindle_forwarding.catalogue import (
+    OrderChange,
+    RolloutChange,
+    ShiftChange,
+    StatusChange,
+)
+from berylspindle_forwarding.rollouts import Rollouts
+from berylspindle_model.rollout import AnswerCounts
+from berylspindle_telemetry import metric_names as names
+from berylspindle_telemetry.metrics import Metrics
+
+
+def take_change(rollouts: Rollouts, change: RolloutChange, *, is_new: bool) -> None:
+    """Take an entry of the store; `is_new` if it was written just now."""
+    if isinstance(change, OrderChange):
+        rollouts.take_order(change.service, change.order, is_new=is_new)
+    elif isinstance(change, StatusChange):
+        rollouts.take_status(change.service, change.status)
+    elif isinstance(change, ShiftChange):
+        rollouts.take_shift(change.service, change.shift)
+    else:
+        rollouts.take_record(change.service, change.data_centre, change.answers)
+
+
+def show_answers(metrics: Metrics, rollouts: Rollouts, service: str) -> None:
+    """Set the metrics of the answers by which a service's new version is judged."""
+    total = AnswerCounts()
+    for counts in rollouts.counted(service).values():
+        total.join(counts)
+    old = total.old.values()
+    for version, result, value in (
+        ("new", "all", total.new),
+        ("new", "bad", total.new_bad),
+        ("old", "all", sum(answers for answers, _ in old)),
+        ("old", "bad", sum(bad for _, bad in old)),
+    ):
+        metrics.gauge(names.ROLLOUT_ANSWERS, value, service=service, version=version, result=result)
--- a/libs/forwarding/berylspindle_forwarding/rollout_keeper.py
+++ b/libs/forwarding/berylspindle_forwarding/rollout_keeper.py
@@ -79,15 +79,17 @@
         *,
         data_centre: str,
         entry: Callable[[str], StoredValue | None],
+        versions: Callable[[str], set[str]],
         is_keeper: Callable[[], bool],
         now: Callable[[], float],
     ) -> None:
-        """Take also `entry`, which returns an entry of the store as this VM knows it."""
+        """Take also an entry of the store as this VM knows it, and a service's versions."""
         self._rollouts: Final = rollouts
         self._store: Final = store
         self._entries: Final = entries
         self._data_centre: Final = data_centre
         self._entry: Final = entry
+        self._versions: Final = versions
         self._is_keeper: Final = is_keeper
         self._now: Final = now
         self._recorded: Final[dict[str, tuple[float, RolloutAnswers]]] = {}
@@ -125,7 +127,13 @@
             return
         status = self._rollouts.status(service)
         if status is None or status.version != order.version or status.revision < order.revision:
-            await self._write_status(order, RolloutState.RUNNING)
+            is_in_force = self._versions(service) == {order.version}
+            state = RolloutState.COMPLETED if is_in_force else RolloutState.RUNNING
+            await self._write_status(order, state)
+            self._log.info(
+                "rollout taken on",
+                extra={"service": service, "version": order.version, "state": state.value},
+            )
             return
         await self._write_record(order)
         elapsed = self._rollouts.elapsed(service)
@@ -166,7 +174,7 @@
 
     async def _write_record(self, order: RolloutOrder) -> None:
         written_at, written = self._recorded.get(order.service, (0.0, None))
-        answers = self._rollouts.answers(order.service, for_others=True, with_sums=True)
+        answers = self._rollouts.record(order.service, self._data_centre)
         if self._now() - written_at < RECORD_S or answers == written:
             return
         key = self._entries.record_key(order.service, self._data_centre)
--- a/libs/forwarding/berylspindle_forwarding/rollouts.py
+++ b/libs/forwarding/berylspindle_forwarding/rollouts.py
@@ -21,7 +21,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -31,11 +31,13 @@
     ExposureBounds,
     Stage,
     caution,
+    may_try,
     trial_share,
 )
-from berylspindle_decisions.version_judge import SLOW_RATIO, AnswerCounts, Verdict, judge
+from berylspindle_decisions.version_judge import SLOW_RATIO, Verdict, judge
 from berylspindle_model import codec
 from berylspindle_model.rollout import (
+    AnswerCounts,
     RolloutAnswers,
     RolloutOrder,
     RolloutReport,
@@ -43,6 +45,7 @@
     RolloutState,
     RolloutStatus,
 )
+from berylspindle_model.routing import Replica
 
 REPORT_S: Final = 5.0
 """Seconds for which a report counts; a VM reports with each read of a mirror, once a second."""
@@ -50,6 +53,9 @@
 MOST_REPORTED: Final = 12
 """Services in one report, the latest orders first: it is part of a request's head."""
 
+RATE_AFTER_MS: Final = 1000
+"""Milliseconds after an order before which its requests say nothing of their rate."""
+
 _FINAL: Final = {
     RolloutState.COMPLETED: Stage.COMPLETED,
     RolloutState.ROLLED_BACK: Stage.ROLLED_BACK,
@@ -82,6 +88,7 @@
     seen_at: float | None = None
     shift_at: float = 0.0
     requests: int = 0
+    tried: int = 0
     routes: defaultdict[str, AnswerCounts] = attrs.field(factory=_counts)
     usual: defaultdict[str, LatencyProfile] = attrs.field(factory=_profiles)
     records: dict[str, RolloutAnswers] = attrs.field(factory=dict)
@@ -119,7 +126,8 @@
     def begin(self, order: RolloutOrder | None, seen_at: float | None) -> None:
         """Take a new order, or that there is none any more."""
         self.order, self.seen_at = order, seen_at
-        self.requests, self.is_stopped = 0, False
+        self.requests = self.tried = 0
+        self.is_stopped = False
         self.routes.clear()
         self.usual.clear()
         self.records.clear()
@@ -132,8 +140,15 @@
     """
 
     def __init__(
-        self, bounds: ExposureBounds, *, now: Callable[[], float], on_change: Callable[[], None]
+        self,
+        bounds: ExposureBounds,
+        *,
+        now: Callable[[], float],
+        on_change: Callable[[], None],
+        dither: float = 0.0,
     ) -> None:
+        """Take also a random number in [0, 1) of this VM's own (`rollout_plan.may_try`)."""
+        self._dither: Final = dither
         self._bounds: Final = bounds
         self._now: Final = now
         self._on_change: Final = on_change
@@ -200,34 +215,43 @@
         if order is None or elapsed is None or known.stage is not Stage.TRIAL or known.is_stopped:
             return False
         share = trial_share(self._bounds, term=order.term, rate=self._rate(known), elapsed=elapsed)
-        return u < share
+        takes = u < share and may_try(
+            self._bounds,
+            elapsed=elapsed,
+            requests=known.requests,
+            tried=known.tried,
+            of_all=sum(record.requests for record in known.records.values()),
+            dither=self._dither,
+        )
+        known.tried += takes
+        return takes
 
-    def note_answer(self, service: str, route: str, version: str, ms: float | None) -> None:
-        """Count an answer of a replica of this version.
+    def note_answer(self, replica: Replica, route: str, ms: float | None) -> None:
+        """Count an answer of a replica.
 
         `ms` is what it took beside the queue that it met; None where it failed. It is slow beside
         answers of the old version of the same service: services of one route may differ.
         """
-        known = self._counting(service)
+        known = self._counting(replica.service)
         if known is None:
             return
         is_bad = ms is None or known.is_slow(route, ms)
-        if ms is not None and version != known.version:
+        if ms is not None and replica.version != known.version:
             known.usual[route].add(ms)
-        self._count(known, route, version, is_bad=is_bad)
+        self._count(known, route, replica, is_bad=is_bad)
 
-    def note_abandoned(self, service: str, route: str, version: str, ms: float) -> None:
+    def note_abandoned(self, replica: Replica, route: str, ms: float) -> None:
         """Count an attempt that nobody waited for any more, if it was slow by then."""
-        known = self._counting(service)
+        known = self._counting(replica.service)
         if known is not None and known.is_slow(route, ms):
-            self._count(known, route, version, is_bad=True)
+            self._count(known, route, replica, is_bad=True)
 
     def _counting(self, service: str) -> _Rollout | None:
         return self._services[service] if service in self._active else None
 
-    def _count(self, known: _Rollout, route: str, version: str, *, is_bad: bool) -> None:
-        is_new = version == known.version
-        known.routes[route].add(is_new=is_new, is_bad=is_bad)
+    def _count(self, known: _Rollout, route: str, replica: Replica, *, is_bad: bool) -> None:
+        is_new = replica.version == known.version
+        known.routes[route].add(replica.id, is_new=is_new, is_bad=is_bad)
         if is_new and is_bad:
             known.is_stopped = known.is_stopped or judge(known.routes) is Verdict.BAD
 
@@ -257,15 +281,34 @@
         order = known.order
         assert order is not None
         requests, routes = known.requests, _counts()
-        _join(routes, known.routes.items())
+        _join(routes, known.routes)
         for told in self._told(service, order.revision, with_sums) if for_others else ():
             requests += told.requests
-            _join(routes, ((name, AnswerCounts(*counts)) for name, counts in told.routes.items()))
+            _join(routes, told.routes)
         return RolloutAnswers(
             order=order.revision,
             elapsed_ms=int((self.elapsed(service) or 0.0) * 1000),
             requests=requests,
-            routes={name: attrs.astuple(counts) for name, counts in routes.items()},
+            routes=routes,
+        )
+
+    def record(self, service: str, data_centre: str) -> RolloutAnswers:
+        """Return the record of a data centre: what its VMs tell, and no less than what it holds.
+
+        Guard: a writer that has restarted knows little of what came before. Evidence of a bad
+        version would be gone, and with fewer requests counted the trial would take a larger share.
+        """
+        told = self.answers(service, for_others=True, with_sums=True)
+        rate = 1000 * told.requests / told.elapsed_ms if told.elapsed_ms > RATE_AFTER_MS else 0.0
+        held = self._services[service].records.get(data_centre)
+        if held is None:
+            return attrs.evolve(told, rate=rate)
+        for name, counts in held.routes.items():
+            told.routes.setdefault(name, AnswerCounts()).raise_to(counts)
+        return attrs.evolve(
+            told,
+            requests=max(told.requests, held.requests),
+            rate=max(rate, held.rate),
         )
 
     def elapsed(self, service: str) -> float | None:
@@ -289,9 +332,9 @@
         """Return how far a rollout has come."""
         return self._services[service].stage
 
-    def counted(self, service: str) -> dict[str, tuple[int, int, int, int]]:
-        """Return the answers of all data centres by route, as `RolloutAnswers` holds them."""
-        return {name: attrs.astuple(one) for name, one in self._recorded(service).items()}
+    def counted(self, service: str) -> dict[str, AnswerCounts]:
+        """Return the answers of all data centres by route."""
+        return dict(self._recorded(service))
 
     def verdict(self, service: str) -> Verdict:
         """Return what the answers of all data centres say."""
@@ -303,8 +346,7 @@
     def _recorded(self, service: str) -> defaultdict[str, AnswerCounts]:
         routes = _counts()
         for record in self._services[service].records.values():
-            counts = ((name, AnswerCounts(*told)) for name, told in record.routes.items())
-            _join(routes, counts)
+            _join(routes, record.routes)
         return routes
 
     def _told(self, service: str, order: int, with_sums: bool) -> Iterable[RolloutAnswers]:
@@ -318,9 +360,7 @@
 
     def _rate(self, known: _Rollout) -> float:
         """Return the requests of all VMs to a service a second, 0 while that isn't known."""
-        records = known.records.values()
-        elapsed = max((record.elapsed_ms for record in records), default=0) / 1000
-        return sum(record.requests for record in records) / elapsed if elapsed > 1.0 else 0.0
+        return sum(record.rate for record in known.records.values())
 
     def _order_revision(self, service: str) -> int:
         order = self._services[service].order
@@ -346,6 +386,6 @@
     return status.version == order.version and status.revision > order.revision
 
 
-def _join(routes: defaultdict[str, AnswerCounts], more: Iterable[tuple[str, AnswerCounts]]) -> None:
-    for name, counts in more:
+def _join(routes: defaultdict[str, AnswerCounts], more: Mapping[str, AnswerCounts]) -> None:
+    for name, counts in more.items():
         routes[name].join(counts)
--- a/libs/model/berylspindle_model/rollout.py
+++ b/libs/model/berylspindle_model/rollout.py
@@ -51,6 +51,43 @@
     order: int
 
 
+@attrs.define
+class AnswerCounts:
+    """Answers on one route, by version: all and the bad ones.
+
+    Those of the old version are counted by replica, as (all, bad).
+    """
+
+    new: int = 0
+    new_bad: int = 0
+    old: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+
+    def add(self, replica: str, *, is_new: bool, is_bad: bool) -> None:
+        """Count one answer."""
+        if is_new:
+            self.new += 1
+            self.new_bad += is_bad
+            return
+        answers, bad = self.old.get(replica, (0, 0))
+        self.old[replica] = (answers + 1, bad + is_bad)
+
+    def join(self, other: AnswerCounts) -> None:
+        """Add the counts of another VM."""
+        self.new += other.new
+        self.new_bad += other.new_bad
+        for replica, (answers, bad) in other.old.items():
+            known = self.old.get(replica, (0, 0))
+            self.old[replica] = (known[0] + answers, known[1] + bad)
+
+    def raise_to(self, least: AnswerCounts) -> None:
+        """Take each count of an earlier record that is higher."""
+        self.new = max(self.new, least.new)
+        self.new_bad = max(self.new_bad, least.new_bad)
+        for replica, (answers, bad) in least.old.items():
+            known = self.old.get(replica, (0, 0))
+            self.old[replica] = (max(known[0], answers), max(known[1], bad))
+
+
 @attrs.frozen(kw_only=True)
 class RolloutAnswers:
     """What some VMs have seen of one rollout so far.
@@ -59,13 +96,15 @@
         order: revision of the order.
         elapsed_ms: time since the order, as far as it is known.
         requests: requests to the service, to either version.
-        routes: by route, answers of the new version, bad ones of it, and the same of the old one.
+        routes: answers by route.
+        rate: requests a second, the highest mean so far; 0 while it isn't known.
     """
 
     order: int
     elapsed_ms: int
     requests: int
-    routes: dict[str, tuple[int, int, int, int]]
+    routes: dict[str, AnswerCounts] = attrs.field(factory=dict)
+    rate: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/telemetry/berylspindle_telemetry/metric_names.py
+++ b/libs/telemetry/berylspindle_telemetry/metric_names.py
@@ -180,6 +180,13 @@
 FORWARD_RELAYED: Final = _counter(
     "forward_relayed", "Requests passed on to a bigger VM, by what came of it.", "result"
 )
+ROLLOUT_ANSWERS: Final = _gauge(
+    "rollout_answers",
+    "Answers by which a service's new version is judged, of all data centres.",
+    "service",
+    "version",
+    "result",
+)
 REPLICAS_KNOWN: Final = _gauge("replicas_known", "Replicas announced to this VM.")
 ROUTING_VERSION: Final = _gauge("routing_version", "Version of the routing table in force.")
 ANNOUNCE_FAILED: Final = _counter(
--- a/tests/decisions/test_load_rollout.py
+++ b/tests/decisions/test_load_rollout.py
@@ -6,20 +6,18 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from berylspindle_bench.rollout_trials import Service, Version, judge_whole, play
+from berylspindle_bench.rollout_trials import Fault, Service, Version, judge_whole, play
 from berylspindle_decisions.rollout_plan import (
     MOST_TRIED,
+    SLACK_AFTER_S,
     ExposureBounds,
     Stage,
+    may_try,
     next_stage,
     trial_share,
 )
-from berylspindle_decisions.version_judge import (
-    LENIENT,
-    AnswerCounts,
-    Verdict,
-    judge,
-)
+from berylspindle_decisions.version_judge import LENIENT, Verdict, judge
+from berylspindle_model.rollout import AnswerCounts
 
 SEEDS = range(25)
 BUSY = Service(rate=63.0)
@@ -48,21 +46,21 @@
 def test_a_version_that_is_bad_on_one_route_hides_among_all_routes() -> None:
     """Guards against a judge of the total: the control's pauses cover what one route shows."""
     routes = {
-        "whole": AnswerCounts(new=70, new_bad=5, old=700, old_bad=50),
-        "quick": AnswerCounts(new=12, new_bad=8, old=120, old_bad=6),
+        "whole": AnswerCounts(70, 5, {"a": (700, 50)}),
+        "quick": AnswerCounts(12, 8, {"a": (120, 6)}),
     }
     assert judge(routes) is Verdict.BAD
     assert judge_whole(routes, LENIENT) is not Verdict.SOUND
 
 
 def test_trouble_of_both_versions_is_no_fault_of_the_new_one() -> None:
-    assert judge({"r": AnswerCounts(new=60, new_bad=15, old=600, old_bad=150)}) is not Verdict.BAD
-    assert judge({"r": AnswerCounts(new=60, new_bad=30, old=600, old_bad=150)}) is Verdict.BAD
+    assert judge({"r": AnswerCounts(60, 15, {"a": (600, 150)})}) is not Verdict.BAD
+    assert judge({"r": AnswerCounts(60, 30, {"a": (600, 150)})}) is Verdict.BAD
 
 
 def test_without_answers_nothing_is_sound() -> None:
     assert judge({}) is Verdict.UNSURE
-    assert judge({"r": AnswerCounts(old=500)}, LENIENT) is Verdict.UNSURE
+    assert judge({"r": AnswerCounts(old={"a": (500, 0)})}, LENIENT) is Verdict.UNSURE
 
 
 TIMES = st.floats(min_value=0.0, max_value=100.0)
@@ -101,3 +99,46 @@
     assert max(shares) <= MOST_TRIED
     exposed = sum(shares) * 0.05 * rate
     assert exposed <= bounds.share * rate * term + bounds.slack
+
+
+@given(
+    data=st.data(),
+    vms=st.integers(min_value=1, max_value=20),
+    lag=st.integers(min_value=1, max_value=200),
+)
+def test_all_vms_together_stay_within_the_exposure(data: st.DataObject, vms: int, lag: int) -> None:
+    """Guards against VMs that spend the slack each on its own, or on what others have had since."""
+    bounds = ExposureBounds()
+    requests, tried = [0] * vms, [0] * vms
+    rng = data.draw(st.randoms(use_true_random=False))
+    dithers = [rng.random() for _ in range(vms)]
+    for total in range(1, 600):
+        vm = rng.randrange(vms)
+        requests[vm] += 1
+        tried[vm] += may_try(
+            bounds,
+            elapsed=SLACK_AFTER_S * total / (3 * lag),
+            requests=requests[vm],
+            tried=tried[vm],
+            of_all=max(0, total - lag),
+            dither=dithers[vm],
+        )
+        assert sum(tried) <= bounds.share * total + bounds.slack + vms
+
+
+def test_a_trial_stays_within_the_exposure_in_a_burst() -> None:
+    """Guards against a share that is set for the usual rate and overspends the slack in a burst."""
+    played = [play(Version(), BUSY, seed=seed, fault=Fault.BURST) for seed in SEEDS]
+    assert all(one.exposed <= one.allowed for one in played if one.stage is Stage.ROLLED_BACK)
+    bad = Version(kind="start", share=0.1)
+    found = [play(bad, BUSY, seed=seed, fault=Fault.BURST) for seed in SEEDS]
+    assert sum(one.exposed > one.allowed for one in found) <= 2
+
+
+def test_a_slow_old_replica_does_not_hide_a_bad_version() -> None:
+    """Guards against everybody being moved to a bad version while an old replica is in trouble."""
+    bad = Version(kind="later", share=0.3)
+    played = [play(bad, BUSY, seed=seed, fault=Fault.OLD_SLOW) for seed in SEEDS]
+    assert sum(one.stage is Stage.ROLLED_BACK for one in played) >= 23
+    counts = AnswerCounts(60, 15, {"a": (200, 10), "b": (200, 8), "slow": (200, 120)})
+    assert judge({"r": counts}) is Verdict.BAD
--- a/tests/forwarding/forward_site.py
+++ b/tests/forwarding/forward_site.py
@@ -10,7 +10,8 @@
 
 from berylspindle_forwarding.catalogue import OutChange, ReplicaChange, TableChange
 from berylspindle_forwarding.dialect import Dialect
-from berylspindle_forwarding.forwarder import Forwarder, ForwardOptions
+from berylspindle_forwarding.forward_options import ForwardOptions
+from berylspindle_forwarding.forwarder import Forwarder
 from berylspindle_forwarding.front import refusal_reply
 from berylspindle_model.routing import (
     CallerLimits,
--- a/tests/forwarding/test_rollouts.py
+++ b/tests/forwarding/test_rollouts.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from berylspindle_decisions.rollout_plan import ExposureBounds, Stage
+from berylspindle_decisions.version_judge import Verdict
 from berylspindle_forwarding.rollouts import Rollouts, VersionRule
 from berylspindle_model.codec import MalformedError
 from berylspindle_model.rollout import (
+    AnswerCounts,
     RolloutAnswers,
     RolloutOrder,
     RolloutShift,
     RolloutState,
     RolloutStatus,
 )
+from berylspindle_model.routing import Replica
 
+OLD = Replica(id="i-old", service="s", host="127.0.0.1", port=1, data_centre="a", version="v1")
+NEW = attrs.evolve(OLD, id="i-new", version="v2")
 ORDER = RolloutOrder(service="s", version="v2", term=12.0, revision=10)
 IN_PULSE = 2.0
 """Seconds after the order in which the trial takes its share."""
@@ -33,9 +39,9 @@
 
     def sees(self, *, new: int, new_bad: int, old: int = 0) -> None:
         for _ in range(old):
-            self.rollouts.note_answer("s", "r", "v1", 20.0)
+            self.rollouts.note_answer(OLD, "r", 20.0)
         for number in range(new):
-            self.rollouts.note_answer("s", "r", "v2", None if number < new_bad else 20.0)
+            self.rollouts.note_answer(NEW, "r", None if number < new_bad else 20.0)
 
 
 def ordered(*, is_new: bool = True) -> Vm:
@@ -107,11 +113,35 @@
     second.rollouts.take_report("follower", follower.rollouts.report(for_others=False))
     first.rollouts.take_report("second", second.rollouts.report(for_others=True))
     told = first.rollouts.answers("s", for_others=True, with_sums=True)
-    assert told.routes == {"r": (7, 1, 40, 0)}
+    assert told.routes == {"r": AnswerCounts(7, 1, {"i-old": (40, 0)})}
     second.rollouts.take_report("first", first.rollouts.report(for_others=True))
-    assert second.rollouts.answers("s", for_others=True).routes == {"r": (6, 1, 40, 0)}
+    assert second.rollouts.answers("s", for_others=True).routes == {
+        "r": AnswerCounts(6, 1, {"i-old": (40, 0)})
+    }
     second.now += 6.0
-    assert second.rollouts.answers("s", for_others=True).routes == {"r": (2, 0, 10, 0)}
+    assert second.rollouts.answers("s", for_others=True).routes == {
+        "r": AnswerCounts(2, 0, {"i-old": (10, 0)})
+    }
+
+
+def test_a_writer_that_restarts_goes_on_from_the_record() -> None:
+    """Guards against evidence that is lost, and a trial that grows, with the VM that counted."""
+    before = ordered()
+    before.now += 5.0
+    for _ in range(300):
+        before.rollouts.takes_trial("s", u=1.0)
+    before.sees(new=20, new_bad=12, old=200)
+    record = before.rollouts.record("s", "a")
+    assert (record.rate, record.requests) == (60.0, 300)
+    after = ordered(is_new=False)
+    after.rollouts.take_record("s", "a", record)
+    after.now += 3.0
+    after.sees(new=30, new_bad=1, old=10)
+    again = after.rollouts.record("s", "a")
+    assert again.routes == {"r": AnswerCounts(30, 12, {"i-old": (200, 0)})}
+    assert (again.rate, again.requests) == (60.0, 300)
+    after.rollouts.take_record("s", "a", again)
+    assert after.rollouts.verdict("s") is Verdict.BAD
 
 
 def test_a_report_that_cannot_be_read_is_refused() -> None:
@@ -122,7 +152,7 @@
 def test_nothing_is_told_without_a_rollout() -> None:
     vm = Vm()
     assert vm.rollouts.report(for_others=True) == ""
-    vm.rollouts.note_answer("s", "r", "v2", None)
+    vm.rollouts.note_answer(NEW, "r", None)
     assert not vm.rollouts.takes_trial("s", u=0.0)
 
 
@@ -131,7 +161,9 @@
     vm = ordered()
     vm.sees(new=0, new_bad=0, old=50)
     for ms in (40.0, 60.0):
-        vm.rollouts.note_answer("s", "r", "v2", ms)
-    vm.rollouts.note_abandoned("s", "r", "v2", 10.0)
-    vm.rollouts.note_abandoned("s", "r", "v2", 80.0)
-    assert vm.rollouts.answers("s", for_others=False).routes == {"r": (3, 2, 50, 0)}
+        vm.rollouts.note_answer(NEW, "r", ms)
+    vm.rollouts.note_abandoned(NEW, "r", 10.0)
+    vm.rollouts.note_abandoned(NEW, "r", 80.0)
+    assert vm.rollouts.answers("s", for_others=False).routes == {
+        "r": AnswerCounts(3, 2, {"i-old": (50, 0)})
+    }
--- a/tests/forwarding/test_silent_store.py
+++ b/tests/forwarding/test_silent_store.py
@@ -10,7 +10,8 @@
 from forward_site import NoStore, plain_route
 
 from berylspindle_forwarding.catalogue import CatalogueReader, Change, TableChange
-from berylspindle_forwarding.forwarder import Forwarder, ForwardOptions, open_forwarder
+from berylspindle_forwarding.forward_options import ForwardOptions
+from berylspindle_forwarding.forwarder import Forwarder, open_forwarder
 from berylspindle_forwarding.upstream_selector import MirrorAddress
 from berylspindle_model.routing import CallerLimits, RoutingTable
 from berylspindle_store.store import Lease, ListResult, StoredValue, StoreUnsure, WatchResult
--- a/tests/forwarding/test_watchers.py
+++ b/tests/forwarding/test_watchers.py
@@ -20,7 +20,8 @@
     VmChange,
     VmEntry,
 )
-from berylspindle_forwarding.forwarder import Forwarder, ForwardOptions, open_forwarder
+from berylspindle_forwarding.forward_options import ForwardOptions
+from berylspindle_forwarding.forwarder import Forwarder, open_forwarder
 from berylspindle_forwarding.upstream_selector import MirrorAddress, UpstreamSelector
 from berylspindle_model import codec
 from berylspindle_model.routing import CallerLimits, Replica, RoutingTable
--- a/tests/platform_adapter/test_rollout.py
+++ b/tests/platform_adapter/test_rollout.py
@@ -127,6 +127,27 @@
         assert set(statuses) == {200}
 
 
+async def test_an_order_for_the_version_in_force_is_completed_at_once(tmp_path: Path) -> None:
+    """Guards against a service without usable replicas, since all are of the ordered version."""
+    async with open_platform(tmp_path) as platform:
+        await platform.until_ready()
+        replicas = [r for r in platform.replicas.values() if r.service == SERVICE]
+        for replica in replicas:
+            platform.announce(replica, version="v2")
+        async with under_load(platform) as statuses:
+            ran = runs(replicas)
+            platform.kv.put(
+                f"op/rollout/{SERVICE}",
+                {"service": SERVICE, "target_version": "v2", "term_s": TERM_S},
+            )
+            await until(platform, "completed")
+            sent = len(statuses)
+            while len(statuses) < sent + 20:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+            assert runs(replicas) - ran >= len(statuses)
+        assert set(statuses) == {200}
+
+
 @pytest.mark.parametrize("said", [b"", b"[]", b'{"target_version": 3}'])
 async def test_an_order_that_cannot_be_read_changes_nothing(tmp_path: Path, said: bytes) -> None:
     async with open_platform(tmp_path) as platform:
