--- a/libs/decisions/berylspindle_decisions/hedged_request.py
+++ b/libs/decisions/berylspindle_decisions/hedged_request.py
@@ -158,23 +158,23 @@
         """Tell whether any attempt has run, may have, or still may."""
         return any(attempt.counts_as_run for attempt in self.attempts)
 
-    def step(self, now: float, guide: AttemptPolicy) -> RequestStep:
+    def step(self, now: float, policy: AttemptPolicy) -> RequestStep:
         """Return what to do now; ask again until it says to wait."""
         runs = sum(attempt.counts_as_run for attempt in self.attempts)
         is_out = any(attempt.is_out for attempt in self.attempts)
         if is_out:
-            return self._step_hedge(now, guide, runs)
+            return self._step_hedge(now, policy, runs)
         if runs >= self._most_runs or (runs and not self._repeatable):
             return self._lose(LossReason.ALL_FAILED)
         if now >= self._deadline:
             return self._lose(LossReason.TOO_LATE)
         if now < self._not_before:
             return WaitUntil(min(self._not_before, self._deadline))
-        return self._step_retry(now, guide)
+        return self._step_retry(now, policy)
 
-    def sent(self, now: float, replica: str, guide: AttemptPolicy) -> AttemptRecord:
+    def sent(self, now: float, replica: str, policy: AttemptPolicy) -> AttemptRecord:
         """Note an attempt that goes out now."""
-        hedge_at = now + guide.hedge_after(self.service)
+        hedge_at = now + policy.hedge_after(self.service)
         attempt = AttemptRecord(replica, now, hedge_at)
         self.attempts.append(attempt)
         self._hedge_at = hedge_at
@@ -199,7 +199,7 @@
             self._not_before = now + self._pause
             self._pause = min(PAUSE_MOST, 2 * self._pause)
 
-    def _step_hedge(self, now: float, guide: AttemptPolicy, runs: int) -> RequestStep:
+    def _step_hedge(self, now: float, policy: AttemptPolicy, runs: int) -> RequestStep:
         if now >= self._deadline:
             # Nothing more goes out; whoever waits for the race ends it.
             return WaitUntil(math.inf)
@@ -208,21 +208,21 @@
         if now < self._hedge_at:
             return WaitUntil(min(self._hedge_at, self._deadline))
         tried = frozenset(attempt.replica for attempt in self.attempts)
-        replica = guide.pick(self.service, tried=tried, hedge=True)
-        if replica is None or not guide.may_take_extra(self.service, hedge=True):
+        replica = policy.pick(self.service, tried=tried, hedge=True)
+        if replica is None or not policy.may_take_extra(self.service, hedge=True):
             self._hedge_at = now + HEDGE_AGAIN
             return WaitUntil(min(self._hedge_at, self._deadline))
         return SendTo(replica, "hedge")
 
-    def _step_retry(self, now: float, guide: AttemptPolicy) -> RequestStep:
+    def _step_retry(self, now: float, policy: AttemptPolicy) -> RequestStep:
         out_of = frozenset(attempt.replica for attempt in self.attempts if attempt.counts_as_run)
         tried = frozenset(attempt.replica for attempt in self.attempts)
-        replica = guide.pick(self.service, tried=tried, hedge=False)
+        replica = policy.pick(self.service, tried=tried, hedge=False)
         if replica is None and tried != out_of:
             # Only replicas that refused, or could not be reached, are left.
             if now < self._again_at:
                 return WaitUntil(min(self._again_at, self._deadline))
-            replica = guide.pick(self.service, tried=out_of, hedge=False)
+            replica = policy.pick(self.service, tried=out_of, hedge=False)
             self._again_pause = min(PAUSE_MOST, 2 * self._again_pause)
         if replica is None:
             if now >= self._wait_until:
@@ -231,7 +231,7 @@
             return WaitUntil(min(self._not_before, self._deadline))
         if all(attempt.end is AttemptEnd.NOT_SENT for attempt in self.attempts):
             return SendTo(replica, "first")
-        if not guide.may_take_extra(self.service, hedge=False):
+        if not policy.may_take_extra(self.service, hedge=False):
             self._denied_since = min(self._denied_since, now)
             if now - self._denied_since >= BUDGET_PATIENCE:
                 return self._lose(LossReason.EXTRA_SPENT)
--- a/libs/forwarding/berylspindle_forwarding/attempt_policy.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_policy.py
@@ -14,7 +14,7 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Sequence
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 import attrs
 
@@ -33,6 +33,7 @@
 from berylspindle_decisions.reach import Reach
 from berylspindle_decisions.replica_health import ReplicaHealth
 from berylspindle_decisions.shared_retry_budget import SharedBudgetOptions, SharedRetryBudget
+from berylspindle_forwarding.attempt import Attempt
 from berylspindle_forwarding.crash_watch import CrashWatch
 from berylspindle_forwarding.dialect import HOP_HEADERS, Dialect
 from berylspindle_forwarding.replica_registry import ReplicaHandle, ReplicaRegistry
@@ -45,9 +46,6 @@
 from berylspindle_telemetry.metrics import Metrics
 from berylspindle_wire.exchange import EndKind, ExchangeEnd, ExchangeReply
 
-if TYPE_CHECKING:
-    from berylspindle_forwarding.drive import Attempt
-
 NO_REPLICA_WAIT_S: Final = 0.25
 """Seconds for which a service without a usable replica is waited for: a replica that has just gone
 is mostly replaced within them, and a caller that is told to come back waits as long. A VM that is
@@ -73,7 +71,7 @@
         unqueued: of those that were sent to a replica with a free slot.
     """
 
-    book: ReplicaRegistry
+    registry: ReplicaRegistry
     crashes: CrashWatch
     reach: Reach
     dialect: Dialect
@@ -107,7 +105,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class DriveTimes:
+class RequestTimes:
     """The bounds of one request, in seconds of the loop's clock.
 
     Attributes:
@@ -123,13 +121,13 @@
 
 
 class RouteAttemptPolicy(AttemptPolicy):
-    """What the races of one request need to know, and what is learned from them."""
+    """What the attempts of one request need to know, and what is learned from them."""
 
     def __init__(
         self,
         tools: ForwardTools,
         route: Route,
-        times: DriveTimes,
+        times: RequestTimes,
         avoided: frozenset[str] = frozenset(),
     ) -> None:
         """Take also replicas that are tried only where no others are left."""
@@ -151,14 +149,14 @@
         if hedge and not self._tools.policy.hedges:
             return None
         if not (tried or hedge) and self._tools.rollouts.takes_trial(service, u=random.random()):
-            on_trial = self._tools.book.pick_on_trial(service)
+            on_trial = self._tools.registry.pick_on_trial(service)
             if on_trial is not None:
                 return on_trial.replica.id
         once = not self._route.repeatable
         avoided = tried | self._avoided
-        handle = self._tools.book.pick(service, tried=avoided, hedge=hedge, once=once)
+        handle = self._tools.registry.pick(service, tried=avoided, hedge=hedge, once=once)
         if handle is None and self._avoided:
-            handle = self._tools.book.pick(service, tried=tried, hedge=hedge, once=once)
+            handle = self._tools.registry.pick(service, tried=tried, hedge=hedge, once=once)
         return handle.replica.id if handle is not None else None
 
     def may_take_extra(self, service: str, *, hedge: bool) -> bool:
@@ -176,7 +174,7 @@
 
     def handle(self, replica: str) -> ReplicaHandle:
         """Return the handle of a replica that was just picked."""
-        found = self._tools.book.get(replica)
+        found = self._tools.registry.get(replica)
         assert found is not None
         return found
 
@@ -229,10 +227,10 @@
             self._tools.note_belief(
                 "address belongs to another replica", replica=attempt.handle.replica.id
             )
-            self._tools.book.set_misplaced(attempt.handle)
+            self._tools.registry.set_misplaced(attempt.handle)
         else:
             if verdict is ReplyClass.FOREIGN:
-                self._tools.book.losses.lost(now, attempt.handle.replica.id)
+                self._tools.registry.losses.lost(now, attempt.handle.replica.id)
             else:
                 self._note_version(now, attempt, None)
             self._note_failed(now, attempt, verdict.value)
@@ -243,7 +241,7 @@
         if end.kind is EndKind.NOT_SENT:
             attempt.handle.health.withdrawn(attempt)
         else:
-            self._tools.book.losses.lost(now, attempt.handle.replica.id)
+            self._tools.registry.losses.lost(now, attempt.handle.replica.id)
         self._note_failed(now, attempt, f"{end.kind.value} {end.detail}")
 
     def _note_failed(self, now: float, attempt: Attempt, what: str) -> None:
@@ -327,14 +325,14 @@
         )
 
     def _healths(self, service: str) -> Iterator[ReplicaHealth]:
-        return (handle.health for handle in self._tools.book.usable(service))
+        return (handle.health for handle in self._tools.registry.usable(service))
 
     def is_hopeless(self) -> bool:
         """Tell whether this VM is cut off from too many of the route's shards for an answer."""
         shard_set = self._route.shard_set
         if shard_set is None or not self._tools.reach.is_cut_off(self._tools.now()):
             return False
-        return sum(map(self._tools.book.has_at_home, shard_set.shards)) < shard_set.least
+        return sum(map(self._tools.registry.has_at_home, shard_set.shards)) < shard_set.least
 
     def no_replica_wait_s(self) -> float:
         """Return how long a service without a usable replica is waited for."""
--- a/libs/forwarding/berylspindle_forwarding/failure_cause.py
+++ b/libs/forwarding/berylspindle_forwarding/failure_cause.py
@@ -64,33 +64,33 @@
 }
 
 
-def cause_of(facts: RequestFacts, story: RequestTrace | None) -> Cause:
+def cause_of(facts: RequestFacts, trace: RequestTrace | None) -> Cause:
     """Return why a request was refused, failed or late."""
     outcome = facts.outcome
     if isinstance(outcome, Refusal) and outcome.kind in _BY_KIND:
         return _BY_KIND[outcome.kind]
-    if story is None:
+    if trace is None:
         return Cause.NO_USABLE_REPLICA
-    if story.merger:
+    if trace.merger:
         return Cause.MERGER_LOST
-    if story.cut_off:
+    if trace.cut_off:
         return Cause.CUT_OFF
-    if story.pressed:
+    if trace.pressed:
         return Cause.OVERLOADED
     if isinstance(outcome, Refusal):
-        return _of_refusal(facts, story)
+        return _of_refusal(facts, trace)
     if 400 <= outcome < 500:
         return Cause.REQUEST_AT_FAULT
     if outcome >= 500:
         return Cause.REPLICA_FAILED
-    return _of_late(facts, story)
+    return _of_late(facts, trace)
 
 
-def _of_refusal(facts: RequestFacts, story: RequestTrace) -> Cause:
-    for step in story.steps:
+def _of_refusal(facts: RequestFacts, trace: RequestTrace) -> Cause:
+    for step in trace.steps:
         if step.kind is StepKind.LOST:
-            return _of_loss(step, story)
-    waiting = _waiting(story)
+            return _of_loss(step, trace)
+    waiting = _waiting(trace)
     if not waiting:
         return Cause.NO_USABLE_REPLICA
     found = _of_service(min(waiting, key=len), default=Cause.REPLICAS_SILENT)
@@ -99,22 +99,22 @@
     return found
 
 
-def _of_loss(lost: Step, story: RequestTrace) -> Cause:
+def _of_loss(lost: Step, trace: RequestTrace) -> Cause:
     if lost.what is LossReason.EXTRA_SPENT:
         return Cause.RETRY_BUDGET_SPENT
-    steps = [step for step in story.steps if step.service == lost.service]
+    steps = [step for step in trace.steps if step.service == lost.service]
     return _of_service(steps, default=Cause.NO_USABLE_REPLICA)
 
 
-def _of_late(facts: RequestFacts, story: RequestTrace) -> Cause:
+def _of_late(facts: RequestFacts, trace: RequestTrace) -> Cause:
     if facts.table_wait_ms >= TABLE_WAIT_MS:
         return Cause.WAITED_FOR_TABLE
-    if waiting := _waiting(story):
+    if waiting := _waiting(trace):
         return _of_service(min(waiting, key=len), default=Cause.SLOW_REPLICA)
-    last = _last(story.steps, StepKind.REPLIED)
+    last = _last(trace.steps, StepKind.REPLIED)
     if last is None:
         return Cause.SLOW_REPLICA
-    own = [step for step in story.steps if step.service == last.service]
+    own = [step for step in trace.steps if step.service == last.service]
     failed = any(_failure(step) is not None for step in own)
     return Cause.RETRIED if failed else Cause.SLOW_REPLICA
 
@@ -133,11 +133,11 @@
     return None
 
 
-def _waiting(story: RequestTrace) -> list[list[Step]]:
+def _waiting(trace: RequestTrace) -> list[list[Step]]:
     """Return the steps of each service that has not answered."""
     services: dict[str, list[Step]] = {}
     answered: set[str] = set()
-    for step in story.steps:
+    for step in trace.steps:
         services.setdefault(step.service, []).append(step)
         if step.kind is StepKind.REPLIED and step.what in (ReplyClass.ANSWER, ReplyClass.FINAL):
             answered.add(step.service)
--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/forward_parts.py
@@ -0,0 +1,118 @@
+"""Make the parts of forwarding from its settings."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from berylspindle_decisions.reach import Reach
+from berylspindle_forwarding.catalogue import VmEntry
+from berylspindle_forwarding.forward_options import ForwardOptions
+from berylspindle_forwarding.mirror import Mirror
+from berylspindle_forwarding.relay import Relay
+from berylspindle_forwarding.replica_registry import ReplicaRegistry
+from berylspindle_forwarding.rollout_keeper import RolloutKeeper
+from berylspindle_forwarding.rollouts import Rollouts
+from berylspindle_forwarding.vm_announcer import VmAnnouncer
+from berylspindle_forwarding.vm_registry import VmRegistry
+from berylspindle_store.store import Store
+from berylspindle_telemetry import metric_names as names
+from berylspindle_telemetry.metrics import Metrics
+
+
+def make_registry(
+    options: ForwardOptions, vms: VmRegistry, reach: Reach, rollouts: Rollouts, metrics: Metrics
+) -> ReplicaRegistry:
+    """Return the registry of replicas."""
+    return ReplicaRegistry(
+        data_centre=options.data_centre,
+        now=asyncio.get_running_loop().time,
+        u=random.random,
+        vms=lambda: vms.alike,
+        pool_options=options.pool,
+        cold=options.cold,
+        reach=reach,
+        on_opened=lambda: metrics.count(names.FORWARD_CONNECTIONS, reason="needed"),
+        policy=options.policy,
+        version_rule=rollouts.rule,
+    )
+
+
+def make_relay(
+    options: ForwardOptions,
+    vms: VmRegistry,
+    registry: ReplicaRegistry,
+    reach: Reach,
+    metrics: Metrics,
+) -> Relay:
+    """Return the way to VMs that merge searches."""
+    return Relay(
+        bears=options.bears,
+        data_centre=options.data_centre,
+        vms=vms.mergers,
+        registry=registry,
+        reach=reach,
+        dialect=options.dialect,
+        metrics=metrics,
+        now=asyncio.get_running_loop().time,
+        u=random.random,
+        policy=options.policy,
+    )
+
+
+def make_keeper(
+    options: ForwardOptions,
+    store: Store,
+    rollouts: Rollouts,
+    registry: ReplicaRegistry,
+    mirror: Mirror,
+    *,
+    is_keeper: Callable[[], bool],
+) -> RolloutKeeper | None:
+    """Return what takes the steps of rollouts, None where none are ordered."""
+    if options.rollout_entries is None:
+        return None
+    return RolloutKeeper(
+        rollouts,
+        store,
+        options.rollout_entries,
+        data_centre=options.data_centre,
+        entry=mirror.entry,
+        versions=registry.versions,
+        is_keeper=is_keeper,
+        now=asyncio.get_running_loop().time,
+    )
+
+
+def make_announcer(
+    options: ForwardOptions,
+    store: Store,
+    vms: VmRegistry,
+    mirror: Mirror,
+    *,
+    listed: asyncio.Event,
+    on_failure: Callable[[str], None],
+) -> VmAnnouncer | None:
+    """Return what keeps this VM's entry, None where it has none."""
+    if not options.announce_key or options.peers is None:
+        return None
+    entry = VmEntry(
+        host=options.peers.host,
+        port=options.peers.port,
+        data_centre=options.data_centre,
+        callers_port=options.callers_port,
+        bears=options.bears,
+    )
+    return VmAnnouncer(
+        store,
+        key=options.announce_key,
+        entry=entry,
+        followers=mirror.followers,
+        is_needed=lambda: vms.needs_me(options.announced_here),
+        known=lambda: mirror.entry(options.announce_key),
+        listed=listed,
+        on_failure=on_failure,
+        is_watcher=lambda: not vms.watchers(),
+        u=random.random,
+    )
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -1,8 +1,8 @@
 """All parts of forwarding on one VM, put together.
 
-Flow: `Forwarder` follows the catalogue, keeps the replica book and the front in step with it, and
-says when this VM is ready for callers. `open_forwarder` starts its task; its exit stack owns all
-that must be closed.
+Flow: `Forwarder` follows the catalogue, keeps the replica registry and the front in step with it,
+and says when this VM is ready for callers. `open_forwarder` starts its task; its exit stack owns
+all that must be closed.
 """
 
 from __future__ import annotations
@@ -31,21 +31,22 @@
     TableChange,
     Unreadable,
     VmChange,
-    VmEntry,
 )
 from berylspindle_forwarding.crash_watch import CrashWatch
 from berylspindle_forwarding.dialect import Dialect
 from berylspindle_forwarding.forward_options import ForwardOptions
+from berylspindle_forwarding.forward_parts import (
+    make_announcer,
+    make_keeper,
+    make_registry,
+    make_relay,
+)
 from berylspindle_forwarding.front import Front
 from berylspindle_forwarding.mirror import Mirror, pack_losses
 from berylspindle_forwarding.outside import Outside
-from berylspindle_forwarding.relay import Relay
-from berylspindle_forwarding.replica_registry import ReplicaRegistry
 from berylspindle_forwarding.rollout_changes import show_answers, take_change
-from berylspindle_forwarding.rollout_keeper import RolloutKeeper
 from berylspindle_forwarding.rollouts import Rollouts
 from berylspindle_forwarding.upstream_selector import UpstreamSelector
-from berylspindle_forwarding.vm_announcer import VmAnnouncer
 from berylspindle_forwarding.vm_probe import Prober
 from berylspindle_forwarding.vm_registry import VmRegistry
 from berylspindle_model import codec
@@ -92,10 +93,10 @@
         self.rollouts: Final = Rollouts(
             options.exposure,
             now=loop.time,
-            on_change=lambda: self.book.follow_versions(),
+            on_change=lambda: self.registry.follow_versions(),
             dither=random.random(),
         )
-        self.book: Final = _book(options, self.vms, self._reach, self.rollouts, metrics)
+        self.registry: Final = make_registry(options, self.vms, self._reach, self.rollouts, metrics)
         self._crashes: Final = CrashWatch(
             Quarantine(QuarantineOptions(first_seen=FirstSeen.NEVER, suspect_s=SUSPECT_S)),
             store,
@@ -104,7 +105,7 @@
         )
         self._tools: Final = ForwardTools(
             crashes=self._crashes,
-            book=self.book,
+            registry=self.registry,
             reach=self._reach,
             dialect=options.dialect,
             metrics=metrics,
@@ -117,11 +118,11 @@
             gate=AdmissionController(options.policy),
             rollouts=self.rollouts,
         )
-        self._relay: Final = _relay(options, self.vms, self.book, self._reach, metrics)
+        self._relay: Final = make_relay(options, self.vms, self.registry, self._reach, metrics)
         self.front: Final = Front(self._tools, self._relay, self._may_begin)
         self._outside: Final = Outside(
             self._reach,
-            self.book,
+            self.registry,
             data_centre=options.data_centre,
             vms=lambda: self.vms.entries,
             table=lambda: self.front.table,
@@ -132,7 +133,7 @@
             on_change=self._note_cut_off,
         )
         self.mirror: Final = Mirror(loop.time)
-        self.mirror.losses = self.book.losses
+        self.mirror.losses = self.registry.losses
         self.mirror.on_rollouts = self._on_rollouts
         self._choice: Final = UpstreamSelector(
             store,
@@ -154,11 +155,25 @@
             now=loop.time,
             u=random.random,
         )
-        self._announcer: Final = self._make_announcer(store)
-        self._keeper: Final = self._make_keeper(store)
+        self._announcer: Final = make_announcer(
+            options,
+            store,
+            self.vms,
+            self.mirror,
+            listed=self._listed,
+            on_failure=self._on_announce_failed,
+        )
+        self._keeper: Final = make_keeper(
+            options,
+            store,
+            self.rollouts,
+            self.registry,
+            self.mirror,
+            is_keeper=lambda: self._choice.follows_store,
+        )
         if off := switched_off(options.policy):
             self._log.warning("decisions switched off", extra={"switches": ", ".join(off)})
-        metrics.gauge_function(names.REPLICAS_KNOWN, lambda: len(self.book))
+        metrics.gauge_function(names.REPLICAS_KNOWN, lambda: len(self.registry))
 
     @property
     def dialect(self) -> Dialect:
@@ -200,7 +215,7 @@
         await self._crashes.close()
         await self._outside.close()
         await self._relay.close()
-        await self.book.close()
+        await self.registry.close()
 
     def on_change(self, change: Change) -> None:
         """Take one change of the catalogue."""
@@ -222,7 +237,7 @@
     def on_listed(self) -> None:
         """Take that all that there is has been told."""
         if not self._listed.is_set():
-            self._log.info("listed", extra={"replicas": len(self.book), "vms": len(self.vms)})
+            self._log.info("listed", extra={"replicas": len(self.registry), "vms": len(self.vms)})
         self._listed.set()
 
     def on_told_cut_off(self, cut_off: bool, source: object) -> None:
@@ -245,7 +260,7 @@
             return
         self.table_version = change.table.version
         self._metrics.gauge(names.ROUTING_VERSION, change.table.version)
-        self.book.set_table(change.table)
+        self.registry.set_table(change.table)
         self.front.set_table(change.table)
         limits = change.table.limits
         self.on_limits(
@@ -261,10 +276,10 @@
     def _take_replica(self, change: ReplicaChange) -> None:
         replica = change.replica
         if replica is None:
-            self.book.remove(change.id)
+            self.registry.remove(change.id)
             self._log_entry("replica gone", replica=change.id)
             return
-        self.book.put(replica)
+        self.registry.put(replica)
         self._log_entry(
             "replica announced",
             replica=replica.id,
@@ -302,52 +317,13 @@
         stage = self.rollouts.stage(change.service)
         self._log_entry("rollout", service=change.service, stage=stage.value)
 
-    def _make_keeper(self, store: Store) -> RolloutKeeper | None:
-        entries = self._options.rollout_entries
-        if entries is None:
-            return None
-        return RolloutKeeper(
-            self.rollouts,
-            store,
-            entries,
-            data_centre=self._options.data_centre,
-            entry=self.mirror.entry,
-            versions=self.book.versions,
-            is_keeper=lambda: self._choice.follows_store,
-            now=asyncio.get_running_loop().time,
-        )
-
-    def _make_announcer(self, store: Store) -> VmAnnouncer | None:
-        options = self._options
-        if not options.announce_key or options.peers is None:
-            return None
-        entry = VmEntry(
-            host=options.peers.host,
-            port=options.peers.port,
-            data_centre=options.data_centre,
-            callers_port=options.callers_port,
-            bears=options.bears,
-        )
-        return VmAnnouncer(
-            store,
-            key=options.announce_key,
-            entry=entry,
-            followers=self.mirror.followers,
-            is_needed=lambda: self.vms.needs_me(options.announced_here),
-            known=lambda: self.mirror.entry(options.announce_key),
-            listed=self._listed,
-            on_failure=self._on_announce_failed,
-            is_watcher=lambda: not self.vms.watchers(),
-            u=random.random,
-        )
-
     def _introduction(self) -> dict[str, str]:
         """Return what the VM that this one follows is told of it."""
         told: dict[str, str] = {}
         for_others = self.vms.is_watcher() and bool(self.vms.watchers())
         if report := self.rollouts.report(for_others=for_others):
             told |= {"vm": self._options.vm, "rollouts": report}
-        if losses := self.book.losses.report(asyncio.get_running_loop().time()):
+        if losses := self.registry.losses.report(asyncio.get_running_loop().time()):
             told["losses"] = pack_losses(losses)
         if self._announcer is not None and not self._announcer.is_announced:
             told |= {"follower": self._options.vm, "bears": f"{self._options.bears:.3f}"}
@@ -356,7 +332,7 @@
     def _on_losses(self, losses: dict[str, int]) -> None:
         """Take the losses that another VM reports."""
         if self._options.policy.shares_losses:
-            self.book.losses.merge(asyncio.get_running_loop().time(), losses)
+            self.registry.losses.merge(asyncio.get_running_loop().time(), losses)
 
     def _on_rollouts(self, vm: str, report: str) -> None:
         try:
@@ -378,7 +354,7 @@
             self._out.add(change.data_centre)
         else:
             self._out.discard(change.data_centre)
-        self.book.set_out(frozenset(self._out))
+        self.registry.set_out(frozenset(self._out))
 
     def _note_unreadable(self, change: Unreadable) -> None:
         self._log.warning("entry names nothing", extra={"key": change.key, "reason": change.reason})
@@ -387,44 +363,6 @@
         return asyncio.get_running_loop().time() - self.front.last_request < USED_S
 
 
-def _book(
-    options: ForwardOptions,
-    vms: VmRegistry,
-    reach: Reach,
-    rollouts: Rollouts,
-    metrics: Metrics,
-) -> ReplicaRegistry:
-    return ReplicaRegistry(
-        data_centre=options.data_centre,
-        now=asyncio.get_running_loop().time,
-        u=random.random,
-        vms=lambda: vms.alike,
-        pool_options=options.pool,
-        cold=options.cold,
-        reach=reach,
-        on_opened=lambda: metrics.count(names.FORWARD_CONNECTIONS, reason="needed"),
-        policy=options.policy,
-        version_rule=rollouts.rule,
-    )
-
-
-def _relay(
-    options: ForwardOptions, vms: VmRegistry, book: ReplicaRegistry, reach: Reach, metrics: Metrics
-) -> Relay:
-    return Relay(
-        bears=options.bears,
-        data_centre=options.data_centre,
-        vms=vms.mergers,
-        book=book,
-        reach=reach,
-        dialect=options.dialect,
-        metrics=metrics,
-        now=asyncio.get_running_loop().time,
-        u=random.random,
-        policy=options.policy,
-    )
-
-
 async def open_forwarder(
     options: ForwardOptions,
     *,
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -1,6 +1,6 @@
 """The callers' edge of forwarded requests: a raw request in, an answer or a refusal out.
 
-Flow: `handle` looks the route up in the table in force, bounds the time, and has one `ForwardDrive`
+Flow: `handle` looks the route up in the table in force, bounds the time, and has a `ScatterGather`
 carry the request out; `request_log` is told how each ended. A refusal becomes a response by the one
 table of error kinds, with the time to come back as a header that may hold parts of a second.
 """
@@ -18,9 +18,8 @@
 from berylspindle_decisions.answer_time import MARGIN_MS, NEW_CONNECTION_MS
 from berylspindle_decisions.quarantine import RunMode
 from berylspindle_decisions.weighted_turns import WeightedTurns
-from berylspindle_forwarding.attempt_policy import DriveTimes, ForwardTools
+from berylspindle_forwarding.attempt_policy import ForwardTools, RequestTimes
 from berylspindle_forwarding.dialect import Dialect
-from berylspindle_forwarding.drive import ForwardDrive, SubsetCall
 from berylspindle_forwarding.relay import Relay, RelayTimes
 from berylspindle_forwarding.request_head import (
     RELAY_LOAD,
@@ -31,6 +30,8 @@
 )
 from berylspindle_forwarding.request_log import Beliefs, Ended, RequestLog
 from berylspindle_forwarding.request_trace import RequestTrace
+from berylspindle_forwarding.scatter_gather import ScatterGather
+from berylspindle_forwarding.subset_call import SubsetCall
 from berylspindle_model.errors import ANSWERS, ErrorKind, Refusal
 from berylspindle_model.routing import Route, RoutingTable
 from berylspindle_telemetry import metric_names as names
@@ -67,7 +68,7 @@
     forward: ForwardRequest
     route: Route
     table_version: int
-    times: DriveTimes
+    times: RequestTimes
     waited_ms: float
 
     @property
@@ -134,14 +135,14 @@
                 forward=forward,
                 route=route,
                 table_version=self._table.version if self._table is not None else 0,
-                times=drive_times(route, forward, started, is_first=request.is_first),
+                times=request_times(route, forward, started, is_first=request.is_first),
                 waited_ms=waited_ms,
             )
             if route.shard_set is not None and forward.relayed is None:
                 passed = await self._passed_on(routed)
                 if passed is not None:
                     return passed
-            return await self._drive(routed)
+            return await self._carry_out(routed)
         finally:
             self._in_flight -= 1
 
@@ -164,7 +165,7 @@
             return Refusal(ErrorKind.NOT_READY, retry_after_ms=NOT_READY_MS)
         return self._table.find(forward.host, forward.path) or Refusal(ErrorKind.NOT_FOUND)
 
-    async def _drive(self, routed: Routed) -> HttpResponse:
+    async def _carry_out(self, routed: Routed) -> HttpResponse:
         """Carry a request out, and tell of its end."""
         forward, id_header = routed.forward, self._tools.dialect.request_id
         mode = self._tools.crashes.mode(forward)
@@ -172,13 +173,13 @@
             self._count(routed.route.name, mode.kind.value)
             self._requests.tell(Ended(request=forward, outcome=mode, route=routed.route))
             return refusal_reply(mode, id_header, forward.request_id)
-        drive = self._canary(routed) if mode is RunMode.CANARY else self._plain_drive(routed)
+        work = self._canary(routed) if mode is RunMode.CANARY else self._plain(routed)
         outcome: HttpResponse | Refusal = _LEFT
         try:
-            outcome = await drive.run()
+            outcome = await work.run()
         finally:
             # A caller that leaves has this task cancelled; its request is told of all the same.
-            self._tell(routed, drive, outcome)
+            self._tell(routed, work, outcome)
             if mode is RunMode.CANARY:
                 self._tools.crashes.unsettled(forward)
         if isinstance(outcome, Refusal):
@@ -190,8 +191,8 @@
             return attrs.evolve(outcome, raw_headers=(*outcome.raw_headers, load))
         return outcome
 
-    def _plain_drive(self, routed: Routed) -> ForwardDrive:
-        return ForwardDrive(
+    def _plain(self, routed: Routed) -> ScatterGather:
+        return ScatterGather(
             self._tools,
             routed.route,
             routed.forward,
@@ -200,10 +201,10 @@
             self._subset(routed),
         )
 
-    def _canary(self, routed: Routed) -> ForwardDrive:
-        """Return the drive of a suspected request: one replica a shard, and one shard first."""
+    def _canary(self, routed: Routed) -> ScatterGather:
+        """Return the work on a suspected request: one replica a shard, and one shard first."""
         route = attrs.evolve(routed.route, max_replicas=1)
-        return ForwardDrive(
+        return ScatterGather(
             self._tools,
             route,
             routed.forward,
@@ -250,14 +251,14 @@
             return outcome
         elapsed_ms = (self._tools.now() - started) * 1000
         self._count(route.name, outcome.kind.value)
-        story = RequestTrace(started)
-        story.merger = merger
+        trace = RequestTrace(started)
+        trace.merger = merger
         self._requests.tell(
-            Ended(request=forward, outcome=outcome, route=route, story=story, elapsed_ms=elapsed_ms)
+            Ended(request=forward, outcome=outcome, route=route, trace=trace, elapsed_ms=elapsed_ms)
         )
         return refusal_reply(outcome, self._tools.dialect.request_id, forward.request_id)
 
-    def _tell(self, routed: Routed, drive: ForwardDrive, outcome: HttpResponse | Refusal) -> None:
+    def _tell(self, routed: Routed, work: ScatterGather, outcome: HttpResponse | Refusal) -> None:
         route = routed.route
         elapsed_ms = (self._tools.now() - routed.times.started) * 1000
         self._tools.metrics.observe(names.FORWARD_TIME, elapsed_ms, route=route.name)
@@ -268,11 +269,11 @@
                 request=routed.forward,
                 outcome=result,
                 route=route,
-                story=drive.story,
+                trace=work.trace,
                 elapsed_ms=elapsed_ms,
                 table_wait_ms=routed.waited_ms,
-                usual_ms=drive.usual_ms,
-                extra_left=drive.extra_left,
+                usual_ms=work.usual_ms,
+                extra_left=work.extra_left,
             )
         )
 
@@ -298,9 +299,9 @@
         self._tools.metrics.count(names.FORWARD_REQUESTS, route=route, result=result)
 
 
-def drive_times(
+def request_times(
     route: Route, forward: ForwardRequest, started: float, *, is_first: bool
-) -> DriveTimes:
+) -> RequestTimes:
     """Return the bounds of a request that has just been read."""
     left_ms = float(route.timeout_ms)
     if forward.left_ms is not None:
@@ -310,7 +311,7 @@
     if forward.relayed is not None:
         # The origin has kept the margin, and knows when the request came.
         aim_ms = forward.relayed.aim_ms
-    return DriveTimes(
+    return RequestTimes(
         started=started,
         aim_cut=started + aim_ms / 1000,
         deadline=started + left_ms / 1000,
--- a/libs/forwarding/berylspindle_forwarding/outside.py
+++ b/libs/forwarding/berylspindle_forwarding/outside.py
@@ -61,7 +61,7 @@
     def __init__(
         self,
         reach: Reach,
-        book: ReplicaRegistry,
+        registry: ReplicaRegistry,
         *,
         data_centre: str,
         vms: Callable[[], tuple[VmEntry, ...]],
@@ -79,7 +79,7 @@
         self._confirm_at = 0.0
         self._prober: Final = prober
         self._reach: Final = reach
-        self._book: Final = book
+        self._registry: Final = registry
         self._data_centre: Final = data_centre
         self._vms: Final = vms
         self._table: Final = table
@@ -192,7 +192,7 @@
         return table is not None and all(self._is_at_home(route) for route in table.routes)
 
     def _is_at_home(self, route: Route) -> bool:
-        held = sum(map(self._book.has_at_home, route.services))
+        held = sum(map(self._registry.has_at_home, route.services))
         if route.shard_set is not None:
             return held >= route.shard_set.least
         return held == len(route.services)
--- a/libs/forwarding/berylspindle_forwarding/part_collector.py
+++ b/libs/forwarding/berylspindle_forwarding/part_collector.py
@@ -4,7 +4,7 @@
   part      a shard's answer with the replica's signature
   subset    parts of several shards that another VM has merged
 
-Flow: a drive adds each part, and notes what is lost; `verdict` says whether an answer can go out,
+Flow: a request adds each part, and notes what is lost; `verdict` says whether an answer can go out,
 and `response` builds it.
 """
 
--- a/libs/forwarding/berylspindle_forwarding/relay.py
+++ b/libs/forwarding/berylspindle_forwarding/relay.py
@@ -128,7 +128,7 @@
         bears: float,
         data_centre: str,
         vms: Callable[[], Mapping[str, VmEntry]],
-        book: ReplicaRegistry,
+        registry: ReplicaRegistry,
         reach: Reach,
         dialect: Dialect,
         metrics: Metrics,
@@ -139,7 +139,7 @@
         self._policy: Final = policy
         self._data_centre: Final = data_centre
         self._vms: Final = vms
-        self._book: Final = book
+        self._registry: Final = registry
         self._reach: Final = reach
         self._dialect: Final = dialect
         self._metrics: Final = metrics
@@ -158,7 +158,7 @@
         known = self._vms()
         if known is not self._seen:
             self._follow(known)
-        now, missing = self._now(), self._book.missing(shards)
+        now, missing = self._now(), self._registry.missing(shards)
         own_missing = missing.get(self._data_centre, 1.0)
         mergers = (
             RelayVm(name, vm.bears, missing.get(vm.data_centre, 1.0))
@@ -173,7 +173,7 @@
         """Return who merges the shards that have no replica in this data centre, if anyone."""
         if not self._policy.subsets:
             return None
-        far = self._book.far_positions(shards)
+        far = self._registry.far_positions(shards)
         if len(far) < LEAST_SUBSET or len(far) == len(shards):
             return None
         merger = self.choose(tuple(shards[n] for n in far), in_flight)
@@ -182,7 +182,7 @@
         data_centre = self._seen[merger].data_centre
         if data_centre == self._data_centre:
             return None
-        held = tuple(n for n in far if self._book.holds(data_centre, shards[n]))
+        held = tuple(n for n in far if self._registry.holds(data_centre, shards[n]))
         return Subset(merger=merger, positions=held)
 
     async def pass_on(
--- a/libs/forwarding/berylspindle_forwarding/request_log.py
+++ b/libs/forwarding/berylspindle_forwarding/request_log.py
@@ -35,14 +35,14 @@
     Attributes:
         outcome: the refusal, or the status of the answer.
         route: None where none was found.
-        story: None where no attempt could be made.
+        trace: None where no attempt could be made.
         extra_left: extra arrivals that this VM may still cause at the route's first service.
     """
 
     request: ForwardRequest
     outcome: Refusal | int
     route: Route | None = None
-    story: RequestTrace | None = None
+    trace: RequestTrace | None = None
     elapsed_ms: float = 0.0
     table_wait_ms: float = 0.0
     usual_ms: float = 0.0
@@ -83,7 +83,7 @@
                     table_wait_ms=ended.table_wait_ms,
                     usual_ms=ended.usual_ms,
                 ),
-                ended.story,
+                ended.trace,
             )
             self._metrics.count(names.FORWARD_CAUSES, cause=cause.value)
         if not self._budget.may_write(self._now(), kind):
@@ -121,10 +121,10 @@
             fields["extra_left"] = f"{ended.extra_left:.1f}"
         if beliefs.cut_off:
             fields["cut_off"] = True
-        if ended.story is not None and ended.story.merger:
-            fields["merger"] = ended.story.merger
-        elif ended.story is not None:
-            fields["steps"] = ended.story.told()
+        if ended.trace is not None and ended.trace.merger:
+            fields["merger"] = ended.trace.merger
+        elif ended.trace is not None:
+            fields["steps"] = ended.trace.told()
         if left_out := self._budget.left_out(kind):
             fields["left_out"] = left_out
         return fields
@@ -138,6 +138,6 @@
         return LineKind.FAILED
     if ended.route is not None and ended.elapsed_ms > ended.route.aim_ms:
         return LineKind.LATE
-    if ended.story is not None and ended.story.extras:
+    if ended.trace is not None and ended.trace.extras:
         return LineKind.HEDGED
     return LineKind.SAMPLE
--- a/libs/forwarding/berylspindle_forwarding/request_trace.py
+++ b/libs/forwarding/berylspindle_forwarding/request_trace.py
@@ -3,8 +3,9 @@
 Terms:
   step   one decision or one thing learned: an attempt that went out, how one ended, a shard lost
 
-Flow: the drive of a request notes its steps, which costs an append each; they are written out only
-for requests that the log tells of in full. `failure_cause` finds in them why a request failed.
+Flow: `scatter_gather` notes the steps of a request, which costs an append each; they are written
+out only for requests that the log tells of in full. `failure_cause` finds in them why a request
+failed.
 """
 
 from __future__ import annotations
--- a/libs/forwarding/berylspindle_forwarding/drive.py
+++ b/libs/forwarding/berylspindle_forwarding/scatter_gather.py
@@ -1,16 +1,16 @@
-"""Carry out one request: its attempts at one service or at each shard, and its one answer.
+"""Scatter one request to its service, or to each of its shards, and gather its one answer.
 
 Terms:
-  race      the attempts at one service (`decisions.hedged_request`); a plain request has one race,
-            a request over a shard set one a shard
+  hedged    the attempts at one service (`decisions.hedged_request`); a plain request has one, a
+            request over a shard set one a shard
   part      a shard's answer with the replica's signature
   subset    shards whose parts one VM near their replicas merges (`relay`)
   cut       a time at which an answer goes out with what is there: at the aim, then at the deadline
 
-Flow: `run` starts all races but those of the subset, whose parts come as one answer, and awaits the
-answer. Where the other VM has surely not begun, the subset's races start as well. Each attempt
-tells the drive how it ended; the drive steps that race, looks whether an answer can go out, and
-keeps one timer for whatever is due next. Attempts that are still out when the answer has gone are
+Flow: `run` starts all hedged requests but those of the subset, whose parts come as one answer, and
+awaits the answer. Where the other VM has surely not begun, those of the subset start as well. Each
+attempt reports its end; the hedged request takes its next step, an answer goes out if it can, and
+one timer is kept for whatever is due next. Attempts that are still out when the answer has gone are
 left to finish, for a connection that is closed under a request costs a new one; what they show is
 learned from. When the caller goes away they are ended, which ends their work at the replicas.
 """
@@ -19,35 +19,31 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Coroutine, Iterable, Sequence
-from typing import Any, Final
-
-import attrs
+from collections.abc import Iterable, Sequence
+from typing import Final
 
 from berylspindle_decisions.answer_time import PartsVerdict
 from berylspindle_decisions.hedged_request import (
     AttemptEnd,
-    AttemptRecord,
     GiveUp,
     HedgedRequest,
     RequestState,
     SendTo,
 )
-from berylspindle_forwarding.attempt_policy import DriveTimes, ForwardTools, RouteAttemptPolicy
+from berylspindle_forwarding.attempt import Attempt, AttemptOwner
+from berylspindle_forwarding.attempt_policy import ForwardTools, RequestTimes, RouteAttemptPolicy
 from berylspindle_forwarding.part_collector import PartCollector
-from berylspindle_forwarding.replica_registry import ReplicaHandle
 from berylspindle_forwarding.reply_check import ReplyClass, classify
 from berylspindle_forwarding.request_head import ForwardRequest, replica_request
 from berylspindle_forwarding.request_trace import RequestTrace
+from berylspindle_forwarding.subset_call import SubsetCall, refusal_of
 from berylspindle_model.errors import ErrorKind, Refusal, RunState
 from berylspindle_model.routing import Route
 from berylspindle_wire.exchange import (
     EndKind,
-    ExchangeConnection,
     ExchangeEnd,
     ExchangeReply,
     ExchangeRequest,
-    ExchangeSink,
 )
 from berylspindle_wire.http import HttpResponse
 
@@ -59,50 +55,7 @@
 the deadline by themselves."""
 
 
-SubsetOutcome = HttpResponse | Refusal | None
-
-
-@attrs.frozen(kw_only=True)
-class SubsetCall:
-    """Shards that another VM merges, and the call that asks it.
-
-    The call returns its answer or a refusal; None where it has surely not begun.
-    """
-
-    positions: tuple[int, ...]
-    send: Callable[[], Coroutine[Any, Any, SubsetOutcome]]
-
-
-class Attempt(ExchangeSink):
-    """One attempt of a drive."""
-
-    __slots__ = ("_drive", "connection", "explained", "handle", "index", "record", "waited")
-
-    def __init__(
-        self, drive: ForwardDrive, index: int, handle: ReplicaHandle, record: AttemptRecord
-    ) -> None:
-        self._drive = drive
-        self.index = index
-        self.handle = handle
-        self.record = record
-        self.explained = 1.0
-        self.waited = False
-        self.connection: ExchangeConnection | None = None
-
-    def on_carried(self, connection: ExchangeConnection) -> None:
-        """Take the connection that carries the request."""
-        self.connection = connection
-
-    def on_reply(self, reply: ExchangeReply) -> None:
-        """Take a whole reply."""
-        self._drive.on_reply(self, reply)
-
-    def on_end(self, end: ExchangeEnd) -> None:
-        """Take that there will be no reply."""
-        self._drive.on_end(self, end)
-
-
-class ForwardDrive:
+class ScatterGather(AttemptOwner):
     """One request under way."""
 
     def __init__(
@@ -111,7 +64,7 @@
         route: Route,
         request: ForwardRequest,
         services: tuple[str, ...],
-        times: DriveTimes,
+        times: RequestTimes,
         subset: SubsetCall | None = None,
         *,
         canary: bool = False,
@@ -122,9 +75,9 @@
         self._route: Final = route
         self._request: Final = request
         self._times: Final = times
-        self._guide: Final = RouteAttemptPolicy(tools, route, times, avoided)
-        wait_until = tools.now() + self._guide.no_replica_wait_s()
-        self._races: Final = [
+        self._policy: Final = RouteAttemptPolicy(tools, route, times, avoided)
+        wait_until = tools.now() + self._policy.no_replica_wait_s()
+        self._hedged: Final = [
             HedgedRequest(
                 service,
                 repeatable=route.repeatable,
@@ -149,7 +102,7 @@
         self._failure: ExchangeReply | None = None
         self._detail = ""
         self._timer: asyncio.TimerHandle | None = None
-        self.story: Final = RequestTrace(times.started)
+        self.trace: Final = RequestTrace(times.started)
         self._loop: Final = asyncio.get_running_loop()
         self._done: Final[asyncio.Future[HttpResponse | Refusal]] = self._loop.create_future()
         self._busy = False
@@ -157,28 +110,28 @@
     @property
     def usual_ms(self) -> float:
         """Return the usual latency of the route's sub-requests."""
-        return self._guide.usual_ms
+        return self._policy.usual_ms
 
     @property
     def extra_left(self) -> float:
         """Return how many extra arrivals this VM may still cause at the first service."""
-        share = self._tools.share(self._races[0].service)
+        share = self._tools.share(self._hedged[0].service)
         return share.left(self._tools.now(), vms=self._tools.vms())
 
     async def run(self) -> HttpResponse | Refusal:
         """Return the answer or the refusal; cancelling this ends all attempts."""
-        if self._guide.is_hopeless():
+        if self._policy.is_hopeless():
             # Asked all the same, the shards that can be reached would work for nothing.
-            self.story.cut_off = True
+            self.trace.cut_off = True
             return Refusal(
                 ErrorKind.NO_REPLICA,
                 "cut off from too many shards",
                 RunState.NOT_RUN,
-                retry_after_ms=self._guide.retry_after_ms(self._tools.now()),
+                retry_after_ms=self._policy.retry_after_ms(self._tools.now()),
             )
-        refusal = self._guide.refusal_at_once([race.service for race in self._races])
+        refusal = self._policy.refusal_at_once([hedged.service for hedged in self._hedged])
         if refusal is not None:
-            self.story.pressed = True
+            self.trace.pressed = True
             return refusal
         try:
             self._start()
@@ -199,20 +152,20 @@
     def _start(self) -> None:
         apart: Sequence[int] = ()
         if self._is_canary:
-            apart = range(1, len(self._races))
+            apart = range(1, len(self._hedged))
         elif self._subset is not None:
             apart = self._subset.positions
         for index in apart:
             self._next[index] = math.inf
-        self._begin(index for index in range(len(self._races)) if index not in apart)
+        self._begin(index for index in range(len(self._hedged)) if index not in apart)
         if self._subset is not None:
             self._subset_task = self._loop.create_task(self._ask_subset(self._subset))
 
     def _begin(self, indices: Iterable[int]) -> None:
-        """Let these races begin."""
+        """Let these hedged requests begin."""
         self._busy = True
         for index in indices:
-            self._tools.share(self._races[index].service).on_request(self._times.started)
+            self._tools.share(self._hedged[index].service).on_request(self._times.started)
             self._step(index)
         self._busy = False
         self._settle()
@@ -231,7 +184,7 @@
             self._detail = outcome.detail
             self._collector.lose(size)
         elif outcome.status == HTTP_REFUSED:
-            self._subset_refusal = _refusal_of(outcome)
+            self._subset_refusal = refusal_of(outcome)
             self._collector.lose(size)
         elif outcome.status != HTTP_OK or not self._collector.add_subset(outcome, size):
             self._subset_may_have_run = True
@@ -243,18 +196,18 @@
         """Take a whole reply of an attempt."""
         now = self._tools.now()
         self._out.discard(attempt)
-        self._guide.note_load(now, attempt.handle, reply)
+        self._policy.note_load(now, attempt.handle, reply)
         verdict = classify(reply, self._request, self._tools.dialect)
         if verdict is ReplyClass.FOREIGN and attempt.connection is not None:
             attempt.connection.close()
         elapsed_ms = (now - attempt.record.sent_at) * 1000
         if not self._done.done():
-            self.story.replied(now, attempt.handle, verdict, reply.status)
-        self._guide.note_reply(now, attempt, verdict, elapsed_ms, reply)
-        race = self._races[attempt.index]
+            self.trace.replied(now, attempt.handle, verdict, reply.status)
+        self._policy.note_reply(now, attempt, verdict, elapsed_ms, reply)
+        hedged = self._hedged[attempt.index]
         if verdict is ReplyClass.ANSWER:
-            if race.state is not RequestState.WON:
-                race.answered(attempt.record)
+            if hedged.state is not RequestState.WON:
+                hedged.answered(attempt.record)
                 self._take(reply)
                 self._withdraw_waiting(attempt.index)
         else:
@@ -265,7 +218,7 @@
         """Take that an attempt gets no reply."""
         now = self._tools.now()
         self._out.discard(attempt)
-        self._guide.note_end(now, attempt, end)
+        self._policy.note_end(now, attempt, end)
         if end.kind is EndKind.LOST:
             elapsed_ms = (now - attempt.record.sent_at) * 1000
             self._tools.crashes.lost(self._request, attempt.handle, elapsed_ms=elapsed_ms)
@@ -274,8 +227,8 @@
             known = AttemptEnd.NOT_SENT
         self._detail = f"{attempt.handle.replica.id}: {end.kind} {end.detail}"
         if not self._done.done():
-            self.story.ended(now, attempt.handle, end)
-        self._races[attempt.index].ended(now, attempt.record, known, refused=False)
+            self.trace.ended(now, attempt.handle, end)
+        self._hedged[attempt.index].ended(now, attempt.record, known, refused=False)
         self._advance(attempt.index)
 
     def _take(self, reply: ExchangeReply) -> None:
@@ -287,7 +240,7 @@
     def _fail(
         self, now: float, attempt: Attempt, verdict: ReplyClass, reply: ExchangeReply
     ) -> None:
-        race = self._races[attempt.index]
+        hedged = self._hedged[attempt.index]
         refused = verdict in (ReplyClass.REFUSED, ReplyClass.MISDIRECTED)
         end = AttemptEnd.NOT_RUN if refused else AttemptEnd.RAN
         if verdict is ReplyClass.FOREIGN:
@@ -296,16 +249,16 @@
         if verdict is ReplyClass.FINAL:
             # The request is at fault, and each replica would say the same.
             self._reply = reply
-            race.answered(attempt.record)
+            hedged.answered(attempt.record)
             return
         if verdict is ReplyClass.FAILURE:
             self._failure = reply
-        race.ended(now, attempt.record, end, refused=verdict is ReplyClass.REFUSED)
+        hedged.ended(now, attempt.record, end, refused=verdict is ReplyClass.REFUSED)
 
     def _advance(self, index: int) -> None:
         if self._done.done() or self._busy:
             return
-        if self._races[index].state is RequestState.OPEN:
+        if self._hedged[index].state is RequestState.OPEN:
             self._busy = True
             self._step(index)
             self._busy = False
@@ -317,18 +270,18 @@
 
     def _follow_canary(self) -> None:
         """Let the other shards begin once the first one has answered; give them up with it."""
-        state, others = self._races[0].state, range(1, len(self._races))
+        state, others = self._hedged[0].state, range(1, len(self._hedged))
         if state is RequestState.WON:
             self._begin(others)
         elif state is RequestState.LOST and self._collector is not None:
             self._collector.lose(len(others))
 
     def _step(self, index: int) -> None:
-        """Let one race do what it has to do now."""
-        race = self._races[index]
+        """Let one hedged do what it has to do now."""
+        hedged = self._hedged[index]
         while True:
             now = self._tools.now()
-            step = race.step(now, self._guide)
+            step = hedged.step(now, self._policy)
             if isinstance(step, SendTo):
                 self._send(now, index, step)
                 continue
@@ -336,7 +289,7 @@
                 self._is_lost = True
                 if self._collector is not None:
                     self._collector.lose()
-                self.story.lost(now, race.service, step.reason)
+                self.trace.lost(now, hedged.service, step.reason)
                 self._detail = self._detail or step.reason
                 self._next[index] = math.inf
             else:
@@ -344,12 +297,12 @@
             return
 
     def _send(self, now: float, index: int, step: SendTo) -> None:
-        handle = self._guide.handle(step.replica)
-        record = self._races[index].sent(now, step.replica, self._guide)
+        handle = self._policy.handle(step.replica)
+        record = self._hedged[index].sent(now, step.replica, self._policy)
         attempt = Attempt(self, index, handle, record)
         self._out.add(attempt)
-        self.story.sent(now, handle, step.reason)
-        self._guide.note_sent(now, attempt, step.reason)
+        self.trace.sent(now, handle, step.reason)
+        self._policy.note_sent(now, attempt, step.reason)
         connection = handle.pool.submit(lambda: self._written(step.replica), attempt)
         if connection is not None:
             attempt.connection = connection
@@ -360,7 +313,7 @@
         return replica_request(self._request, self._tools.dialect, replica=replica, left_ms=left_ms)
 
     def _withdraw_waiting(self, index: int | None = None) -> None:
-        """Take back attempts that no connection carries yet: of one race, or of all.
+        """Take back attempts that no connection carries yet: of one hedged, or of all.
 
         They would reach a replica when nobody needs their answer any more.
         """
@@ -378,7 +331,7 @@
         now = self._tools.now()
         self._busy = True
         for index, due in enumerate(self._next):
-            if due <= now and self._races[index].state is RequestState.OPEN:
+            if due <= now and self._hedged[index].state is RequestState.OPEN:
                 self._step(index)
         self._busy = False
         self._settle()
@@ -429,13 +382,13 @@
 
     def _refusal(self, now: float) -> Refusal:
         """Return why there is no answer, and whether any replica may have run the request."""
-        may_have_run = self._subset_may_have_run or any(r.may_have_run for r in self._races)
+        may_have_run = self._subset_may_have_run or any(r.may_have_run for r in self._hedged)
         if not may_have_run:
             return Refusal(
                 ErrorKind.NO_REPLICA,
                 self._detail,
                 RunState.NOT_RUN,
-                retry_after_ms=self._guide.retry_after_ms(now),
+                retry_after_ms=self._policy.retry_after_ms(now),
             )
         if now >= self._times.answer_by:
             return Refusal(ErrorKind.DEADLINE_EXCEEDED, self._detail)
@@ -445,7 +398,7 @@
 
     def _passed_on(self, reply: ExchangeReply) -> HttpResponse:
         return HttpResponse(
-            status=reply.status, body=reply.body, raw_headers=self._guide.end_to_end(reply)
+            status=reply.status, body=reply.body, raw_headers=self._policy.end_to_end(reply)
         )
 
     def _end_attempts(self, why: str) -> None:
@@ -454,23 +407,8 @@
         for attempt in tuple(self._out):
             self._out.discard(attempt)
             elapsed_ms = (now - attempt.record.sent_at) * 1000
-            self._guide.note_given_up(now, attempt, elapsed_ms)
+            self._policy.note_given_up(now, attempt, elapsed_ms)
             if attempt.connection is not None:
                 attempt.connection.forget()
             else:
                 attempt.handle.pool.withdraw(attempt)
-
-
-def _refusal_of(response: HttpResponse) -> Refusal:
-    """Return the refusal that another VM has answered, with its time to come back."""
-    seconds = dict(response.raw_headers).get(b"retry-after", b"")
-    try:
-        retry_after_ms = int(float(seconds) * 1000)
-    except ValueError:
-        retry_after_ms = None
-    return Refusal(
-        ErrorKind.OVERLOADED,
-        "the merger of a subset refused it",
-        RunState.NOT_RUN,
-        retry_after_ms=retry_after_ms,
-    )
--- a/tests/forwarding/forward_site.py
+++ b/tests/forwarding/forward_site.py
@@ -168,7 +168,7 @@
             **{"vm": "vm-1", "data_centre": "a", "expected_vms": 1, **options}
         )
         forwarder = Forwarder(settings, store or NoStore(), None, Metrics())  # type: ignore[arg-type]
-        stack.push_async_callback(forwarder.book.close)
+        stack.push_async_callback(forwarder.registry.close)
         stack.push_async_callback(forwarder._crashes.close)
         # The slack of the extra share grows over the first seconds of a process.
         forwarder._tools.started -= 60.0
--- a/tests/forwarding/test_merged.py
+++ b/tests/forwarding/test_merged.py
@@ -9,7 +9,7 @@
 from forward_site import DIALECT, Site, merged_route, open_site
 
 from berylspindle_decisions.record_merge import greatest
-from berylspindle_forwarding.drive import ForwardDrive
+from berylspindle_forwarding.scatter_gather import ScatterGather
 from berylspindle_standins.forward_replica import Spoil, answer_body, signature_of
 from berylspindle_wire.http import HttpResponse
 
@@ -150,14 +150,14 @@
     is due at once, again and again, until the whole request has its answer.
     """
     woken = 0
-    on_timer = ForwardDrive._on_timer
+    on_timer = ScatterGather._on_timer
 
-    def counted(drive: ForwardDrive) -> None:
+    def counted(drive: ScatterGather) -> None:
         nonlocal woken
         woken += 1
         on_timer(drive)
 
-    monkeypatch.setattr(ForwardDrive, "_on_timer", counted)
+    monkeypatch.setattr(ScatterGather, "_on_timer", counted)
     async with open_site() as site:
         await open_shards(site)
         site.route(merged_route(SHARDS, aim_ms=400, least=1.0))
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -271,7 +271,7 @@
         await asyncio.sleep(0.05)
         await site.replica("quick", "booking", data_centre="b")
         # Known to be slow, so that the second request first waits for the other one.
-        health = site.forwarder.book.get("quick").health
+        health = site.forwarder.registry.get("quick").health
         health._pace, health._pace_at = 9.0, asyncio.get_running_loop().time()
         told = await site.ask("/booking/second", left_ms=3000)
         assert told.status == 200
--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -105,7 +105,7 @@
         assert (await far.ask("/lots/1")).body == whole("/lots/1")
         assert merged(far) == 0
         far.take_out("a")
-        assert far.forwarder.book.missing(SHARDS) == {}
+        assert far.forwarder.registry.missing(SHARDS) == {}
 
 
 @asynccontextmanager
--- a/tests/forwarding/test_watchers.py
+++ b/tests/forwarding/test_watchers.py
@@ -254,10 +254,10 @@
     can't tell such a time from others keeps all that goes, always.
     """
     async with fleet() as (shared, forwarders, _):
-        assert all(f.book.get("i-1") is not None for f in forwarders.values())
+        assert all(f.registry.get("i-1") is not None for f in forwarders.values())
         shared.put("replicas/i-1", None)
         await asyncio.sleep(2.2)
-        kept = [name for name, f in forwarders.items() if f.book.get("i-1") is not None]
+        kept = [name for name, f in forwarders.items() if f.registry.get("i-1") is not None]
         assert kept == []
 
 
