Play a rollout by VMs that see the store late, start anew and write under a condition

A hypothesis state machine over the decisions of a rollout: three VMs with the product's own Rollouts, a store that each reads late, restarts, and a version that may always fail. It ends once, completes only after all had time to shift, never completes a version that always fails, and tries within the exposure.

--- /dev/null
+++ b/tests/forwarding/test_rollout_machine.py
@@ -0,0 +1,190 @@
+"""VMs that come and go decide on one rollout through a store that they see late."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import attrs
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from berylspindle_decisions import rollout_plan
+from berylspindle_decisions.rollout_plan import SHIFT_MOST, SHIFT_S, ExposureBounds, Stage
+from berylspindle_decisions.version_judge import Verdict
+from berylspindle_forwarding.rollouts import Rollouts
+from berylspindle_model.rollout import RolloutOrder, RolloutShift, RolloutState, RolloutStatus
+from berylspindle_model.routing import Replica
+
+TERM_S = 12.0
+ORDER = RolloutOrder(service="s", version="v2", term=TERM_S, revision=1)
+OLD = Replica(id="old", service="s", host="127.0.0.1", port=1, data_centre="a", version="v1")
+NEW = attrs.evolve(OLD, id="new", version="v2")
+STEPS = settings(max_examples=40, stateful_step_count=20, deadline=None)
+SOME = st.sets(st.integers(min_value=0, max_value=2), min_size=1)
+SERVED = 25
+FINAL = {RolloutState.COMPLETED: Stage.COMPLETED, RolloutState.ROLLED_BACK: Stage.ROLLED_BACK}
+
+
+@attrs.define
+class Vm:
+    """One VM, and how far it has read the store's changes."""
+
+    rollouts: Rollouts
+    read: int = 0
+    requests: int = 0
+    tried: int = 0
+
+
+class RolloutMachine(RuleBasedStateMachine):
+    """`next_stage` is replaced by planted faults."""
+
+    next_stage: Callable[..., Stage] = staticmethod(rollout_plan.next_stage)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now, self.bounds = 100.0, ExposureBounds()
+        self.changes: list[tuple[str, object]] = [("order", ORDER)]
+        self.shift_at = self.completed_at = 0.0
+        self.finals: list[Stage] = []
+        self.gone: list[Vm] = []
+        self.vms = [self._start(is_new=True) for _ in range(3)]
+
+    @initialize(is_bad=st.booleans(), seed=st.integers(0, 1000))
+    def order(self, is_bad: bool, seed: int) -> None:
+        self.is_bad, self.rng = is_bad, random.Random(seed)
+
+    @rule(served=SOME, recorded=SOME, heard=SOME, stepped=SOME)
+    def second(
+        self, served: set[int], recorded: set[int], heard: set[int], stepped: set[int]
+    ) -> None:
+        """Let a second go by, in which some VMs do some of what each should do."""
+        self.now += 1.0
+        for vm in served:
+            self.serve(vm)
+        for vm in recorded:
+            self.record(vm)
+        for vm in heard:
+            self._hear(self.vms[vm], is_new=True)
+        for vm in stepped:
+            self.step(vm)
+
+    @rule(vm=st.integers(min_value=0, max_value=2))
+    def restart(self, vm: int) -> None:
+        """The VM knows only what the store holds, and not how old the order is."""
+        self.gone.append(self.vms[vm])
+        self.vms[vm] = self._start(is_new=False)
+
+    def serve(self, vm: int) -> None:
+        one = self.vms[vm]
+        for _ in range(SERVED):
+            is_tried = one.rollouts.takes_trial("s", u=self.rng.random())
+            uses_new = one.rollouts.rule("s").is_used
+            one.requests += 1
+            one.tried += is_tried
+            is_new = is_tried or uses_new
+            ms = None if is_new and self.is_bad else 20.0
+            one.rollouts.note_answer(NEW if is_new else OLD, "r", ms)
+
+    def record(self, vm: int) -> None:
+        rollouts = self.vms[vm].rollouts
+        if rollouts.active:
+            self.changes.append((f"record {vm}", rollouts.record("s", str(vm))))
+
+    def step(self, vm: int) -> None:
+        """Take the next step as this VM sees it, by a write under a condition."""
+        one = self.vms[vm]
+        stage, elapsed = one.rollouts.stage("s"), one.rollouts.elapsed("s")
+        if stage.is_final or elapsed is None:
+            return
+        following = type(self).next_stage(
+            stage,
+            one.rollouts.verdict("s"),
+            elapsed=elapsed,
+            in_stage=one.rollouts.in_stage("s"),
+            term=TERM_S,
+        )
+        key = "shift" if following is Stage.SHIFT else "status"
+        is_stale = any(changed == key for changed, _ in self.changes[one.read :])
+        if following is stage or is_stale:
+            return
+        if following is Stage.SHIFT:
+            self.shift_at = self.shift_at or self.now
+            self.changes.append((key, RolloutShift(order=ORDER.revision)))
+            return
+        self.finals.append(following)
+        self.completed_at = self.now if following is Stage.COMPLETED else self.completed_at
+        state = next(state for state, final in FINAL.items() if final is following)
+        revision = len(self.changes) + 1
+        self.changes.append((key, RolloutStatus(version="v2", state=state, revision=revision)))
+
+    @invariant()
+    def ends_once(self) -> None:
+        assert len(set(self.finals)) <= 1
+
+    @invariant()
+    def completes_after_all_had_time_to_shift(self) -> None:
+        if self.completed_at:
+            assert self.shift_at
+            assert self.completed_at - self.shift_at >= min(SHIFT_S, SHIFT_MOST * TERM_S) - 0.01
+
+    @invariant()
+    def never_completes_a_version_that_always_fails(self) -> None:
+        assert not (self.completed_at and self.is_bad)
+
+    @invariant()
+    def tries_within_the_exposure(self) -> None:
+        vms = [*self.vms, *self.gone]
+        allowed = self.bounds.share * sum(vm.requests for vm in vms)
+        assert sum(vm.tried for vm in vms) <= allowed + 3 * self.bounds.slack + len(vms)
+
+    def _start(self, *, is_new: bool) -> Vm:
+        rollouts = Rollouts(self.bounds, now=lambda: self.now, on_change=lambda: None)
+        vm = Vm(rollouts)
+        self._hear(vm, is_new=is_new)
+        return vm
+
+    def _hear(self, vm: Vm, *, is_new: bool) -> None:
+        for key, value in self.changes[vm.read :]:
+            if key == "order":
+                vm.rollouts.take_order("s", value, is_new=is_new)
+            elif key == "shift":
+                vm.rollouts.take_shift("s", value)
+            elif key == "status":
+                vm.rollouts.take_status("s", value)
+            else:
+                vm.rollouts.take_record("s", key.removeprefix("record "), value)
+        vm.read = len(self.changes)
+
+
+def skips_the_shift(stage: Stage, verdict: Verdict, **times: float) -> Stage:
+    following = rollout_plan.next_stage(stage, verdict, **times)
+    return Stage.COMPLETED if following is Stage.SHIFT else following
+
+
+def trusts_silence(stage: Stage, verdict: Verdict, **times: float) -> Stage:
+    judged = Verdict.SOUND if verdict is not Verdict.SOUND else verdict
+    return rollout_plan.next_stage(stage, judged, **times)
+
+
+def test_vms_that_see_the_store_late_decide_once_and_within_bounds() -> None:
+    run_state_machine_as_test(RolloutMachine, settings=STEPS)
+
+
+@pytest.mark.parametrize(
+    "planted",
+    [skips_the_shift, trusts_silence],
+)
+def test_a_planted_fault_is_found(planted: Callable[..., Stage]) -> None:
+    machine = type("Planted", (RolloutMachine,), {"next_stage": staticmethod(planted)})
+    more = settings(STEPS, max_examples=300, phases=[Phase.generate])
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(machine, settings=more)
