--- a/libs/forwarding/berylspindle_forwarding/rollout_keeper.py
+++ b/libs/forwarding/berylspindle_forwarding/rollout_keeper.py
@@ -122,39 +122,24 @@
         self._last_failure = detail
 
     async def _step(self, service: str) -> None:
+        """Take a new order on, or write what is known and take the next step if it is due."""
         order, stage = self._rollouts.order(service), self._rollouts.stage(service)
         if order is None or stage.is_final:
             return
         status = self._rollouts.status(service)
         if status is None or status.version != order.version or status.revision < order.revision:
-            is_in_force = self._versions(service) == {order.version}
-            state = RolloutState.COMPLETED if is_in_force else RolloutState.RUNNING
-            await self._write_status(order, state)
-            self._log.info(
-                "rollout taken on",
-                extra={"service": service, "version": order.version, "state": state.value},
-            )
+            await self._take_on(order)
             return
         await self._write_record(order)
         elapsed = self._rollouts.elapsed(service)
         if elapsed is None:
             return
         verdict = self._rollouts.verdict(service)
-        following = next_stage(
-            stage,
-            verdict,
-            elapsed=elapsed,
-            in_stage=self._rollouts.in_stage(service),
-            term=order.term,
-        )
+        in_stage = self._rollouts.in_stage(service)
+        following = next_stage(stage, verdict, elapsed=elapsed, in_stage=in_stage, term=order.term)
         if following is stage:
             return
-        if following is Stage.SHIFT:
-            lease = await self._lease(order)
-            shift = codec.to_json(RolloutShift(order=order.revision))
-            await self._write(self._entries.shift_key(service), shift, lease)
-        else:
-            await self._write_status(order, _STATES[following])
+        await self._write_stage(order, following)
         self._log.warning(
             "rollout step",
             extra={
@@ -167,6 +152,23 @@
             },
         )
 
+    async def _take_on(self, order: RolloutOrder) -> None:
+        """Tell the operator that the rollout runs, or is over since the version is in force."""
+        is_in_force = self._versions(order.service) == {order.version}
+        state = RolloutState.COMPLETED if is_in_force else RolloutState.RUNNING
+        await self._write_status(order, state)
+        self._log.info(
+            "rollout taken on",
+            extra={"service": order.service, "version": order.version, "state": state.value},
+        )
+
+    async def _write_stage(self, order: RolloutOrder, stage: Stage) -> None:
+        if stage is not Stage.SHIFT:
+            await self._write_status(order, _STATES[stage])
+            return
+        shift = codec.to_json(RolloutShift(order=order.revision))
+        await self._write(self._entries.shift_key(order.service), shift, await self._lease(order))
+
     async def _write_status(self, order: RolloutOrder, state: RolloutState) -> None:
         status = RolloutStatus(version=order.version, state=state)
         key, value = self._entries.status_entry(order.service, status)
--- a/libs/forwarding/berylspindle_forwarding/scatter_gather.py
+++ b/libs/forwarding/berylspindle_forwarding/scatter_gather.py
@@ -1,4 +1,4 @@
-"""Scatter one request to its service, or to each of its shards, and gather its one answer.
+"""Send one request to its service, or to each of its shards, and join the parts of its answer.
 
 Terms:
   hedged    the attempts at one service (`decisions.hedged_request`); a plain request has one, a
--- a/tests/bench/test_page_links.py
+++ b/tests/bench/test_page_links.py
@@ -15,7 +15,7 @@
     (docs / "HOME.md").write_text(
         "docs/design/LARGE.md\n[up](../README.md) [gone](design/GONE.md)\ndocs/SIZE.md.\n"
     )
-    (tmp_path / "README.md").write_text("[site](https://site.example/GONE.md) docs/HOME.md\n")
+    (tmp_path / "README.md").write_text("[site](https://127.0.0.1/GONE.md) docs/HOME.md\n")
     assert [str(reference) for reference in missing(tmp_path)] == [
         "docs/HOME.md:2: no such file: design/GONE.md",
         "docs/HOME.md:3: no such file: docs/SIZE.md",
