--- a/libs/forwarding/berylspindle_forwarding/rollout_keeper.py
+++ b/libs/forwarding/berylspindle_forwarding/rollout_keeper.py
@@ -22,7 +22,7 @@
 from typing import Final
 
 from berylspindle_decisions.rollout_plan import Stage, next_stage
-from berylspindle_forwarding.rollouts import Rollouts
+from berylspindle_forwarding.rollouts import FINAL_STAGES, Rollouts
 from berylspindle_model import codec
 from berylspindle_model.rollout import (
     RolloutAnswers,
@@ -46,10 +46,7 @@
 LEASE_BEYOND_TERM_S: Final = 60.0
 """Seconds for which records are kept beyond the term of an order."""
 
-_STATES: Final = {
-    Stage.COMPLETED: RolloutState.COMPLETED,
-    Stage.ROLLED_BACK: RolloutState.ROLLED_BACK,
-}
+_STATES: Final = {stage: state for state, stage in FINAL_STAGES.items()}
 
 
 class RolloutEntries(abc.ABC):
--- a/libs/forwarding/berylspindle_forwarding/rollouts.py
+++ b/libs/forwarding/berylspindle_forwarding/rollouts.py
@@ -56,10 +56,11 @@
 RATE_AFTER_MS: Final = 1000
 """Milliseconds after an order before which its requests say nothing of their rate."""
 
-_FINAL: Final = {
+FINAL_STAGES: Final = {
     RolloutState.COMPLETED: Stage.COMPLETED,
     RolloutState.ROLLED_BACK: Stage.ROLLED_BACK,
 }
+"""The stages that the operator is told of as the end of a rollout."""
 
 
 @attrs.frozen(kw_only=True)
@@ -98,8 +99,8 @@
     def stage(self) -> Stage:
         """Return how far the rollout has come."""
         order, status = self.order, self.status
-        if status is not None and status.state in _FINAL and _is_of(status, order):
-            return _FINAL[status.state]
+        if status is not None and status.state in FINAL_STAGES and _is_of(status, order):
+            return FINAL_STAGES[status.state]
         if order is None:
             return Stage.ROLLED_BACK
         if self.shift is not None and self.shift.order == order.revision:
--- a/tests/forwarding/test_rollout_machine.py
+++ b/tests/forwarding/test_rollout_machine.py
@@ -20,8 +20,8 @@
 from berylspindle_decisions import rollout_plan
 from berylspindle_decisions.rollout_plan import SHIFT_MOST, SHIFT_S, ExposureBounds, Stage
 from berylspindle_decisions.version_judge import Verdict
-from berylspindle_forwarding.rollouts import Rollouts
-from berylspindle_model.rollout import RolloutOrder, RolloutShift, RolloutState, RolloutStatus
+from berylspindle_forwarding.rollouts import FINAL_STAGES, Rollouts
+from berylspindle_model.rollout import RolloutOrder, RolloutShift, RolloutStatus
 from berylspindle_model.routing import Replica
 
 TERM_S = 12.0
@@ -31,7 +31,6 @@
 STEPS = settings(max_examples=40, stateful_step_count=20, deadline=None)
 SOME = st.sets(st.integers(min_value=0, max_value=2), min_size=1)
 SERVED = 25
-FINAL = {RolloutState.COMPLETED: Stage.COMPLETED, RolloutState.ROLLED_BACK: Stage.ROLLED_BACK}
 
 
 @attrs.define
@@ -122,7 +121,7 @@
             return
         self.finals.append(following)
         self.completed_at = self.now if following is Stage.COMPLETED else self.completed_at
-        state = next(state for state, final in FINAL.items() if final is following)
+        state = next(state for state, final in FINAL_STAGES.items() if final is following)
         revision = len(self.changes) + 1
         self.changes.append((key, RolloutStatus(version="v2", state=state, revision=revision)))
 
