--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -218,6 +218,10 @@
     def on_listed(self) -> None:
         """Handle the end of a complete list."""
 
+    @abc.abstractmethod
+    def on_older_entry(self, entry: StoredValue, known_revision: int, *, from_mirror: bool) -> None:
+        """Handle an entry that is ignored because a newer revision of its key is known."""
+
     @abc.abstractmethod
     def on_peer_isolation(self, cut_off: bool, source: object) -> None:
         """Handle a report whether the VM whose mirror (`source`) is followed is cut off."""
@@ -255,6 +259,7 @@
         self._settled_at = 0.0
         self._vms_settled_at = 0.0
         self._watch_timeout: asyncio.Timeout | None = None
+        self._follows_mirror = False
 
     def abort_store_watch(self) -> None:
         """Abort a pending watch of the store and retry."""
@@ -346,6 +351,7 @@
 
     async def _on_success(self, upstream: Upstream) -> None:
         now = self._now()
+        self._follows_mirror = upstream.is_mirror
         if upstream.is_mirror:
             # Only the mirror knows whether its deletions result from an outage.
             settling = SETTLE_S if upstream.behind_ms else upstream.settling_ms / 1000
@@ -370,6 +376,8 @@
                 self._on_deleted(entry)
             return
         self._deferred_deletions.pop(entry.key, None)
+        if entry.revision < known_revision:
+            self._listener.on_older_entry(entry, known_revision, from_mirror=self._follows_mirror)
         if entry.revision <= known_revision:
             return
         self._revisions[entry.key] = entry.revision
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -51,7 +51,7 @@
 from berylspindle_forwarding.vm_registry import VmRegistry
 from berylspindle_model import codec
 from berylspindle_model.errors import ErrorKind, Refusal
-from berylspindle_store.store import Store
+from berylspindle_store.store import Store, StoredValue
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.logs import logger
 from berylspindle_telemetry.metrics import Metrics
@@ -174,6 +174,7 @@
         if off := disabled_switches(options.policy):
             self._log.warning("decisions switched off", extra={"switches": ", ".join(off)})
         metrics.gauge_function(names.REPLICAS_KNOWN, lambda: len(self.registry))
+        metrics.gauge_function(names.ENTRIES_BEHIND, lambda: self.mirror.behind_ms)
 
     @property
     def dialect(self) -> Dialect:
@@ -243,6 +244,15 @@
             )
         self._listed.set()
 
+    def on_older_entry(self, entry: StoredValue, known_revision: int, *, from_mirror: bool) -> None:
+        """Count an ignored entry, and log it if the store itself returned it."""
+        self._metrics.count(names.OLDER_ENTRIES, upstream="mirror" if from_mirror else "store")
+        if not from_mirror:
+            self._log.warning(
+                "ignored store entry with an older revision",
+                extra={"key": entry.key, "revision": entry.revision, "known": known_revision},
+            )
+
     def on_peer_isolation(self, cut_off: bool, source: object) -> None:
         """Record whether the upstream VM reports itself cut off."""
         self._isolation_monitor.record_peer_report(cut_off, source=source)
--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -116,6 +116,13 @@
         """Return the store's revision that the entries reflect; 0 before the first list."""
         return self._revision
 
+    @property
+    def behind_ms(self) -> int:
+        """Return for how long this mirror has been out of sync, in milliseconds; 0 if it is not."""
+        if self._out_of_sync_since is None:
+            return 0
+        return 1 + int((self._now() - self._out_of_sync_since) * 1000)
+
     def get(self, key: str) -> StoredValue | None:
         """Return an entry by its key."""
         return self._entries.get(key)
@@ -165,7 +172,7 @@
             return self._to_response(
                 MirrorList(
                     revision=self._revision,
-                    behind_ms=self._behind_ms(),
+                    behind_ms=self.behind_ms,
                     settling_ms=self._settling_ms(),
                     cut_off=self._cut_off,
                     entries=tuple(self._entries.values()),
@@ -195,7 +202,7 @@
         compacted = after < self._oldest_revision
         return MirrorChanges(
             revision=max(self._revision, after),
-            behind_ms=self._behind_ms(),
+            behind_ms=self.behind_ms,
             compacted=compacted,
             settling_ms=self._settling_ms(),
             cut_off=self._cut_off,
@@ -212,11 +219,6 @@
             status=200, body=codec.to_msgpack(message), headers={"content-type": CONTENT_TYPE}
         )
 
-    def _behind_ms(self) -> int:
-        if self._out_of_sync_since is None:
-            return 0
-        return 1 + int((self._now() - self._out_of_sync_since) * 1000)
-
     def _settling_ms(self) -> int:
         return max(0, int((self._settled_at - self._now()) * 1000))
 
--- a/libs/forwarding/berylspindle_forwarding/replica_registry.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_registry.py
@@ -68,9 +68,15 @@
         self.health: Final = health
         self.pool: Final = pool
         self.is_misplaced = False
+        self.is_removed = False
         self.failures = 0
         self._cold_requests: deque[float] = deque()
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the replica was announced as draining or gone."""
+        return self.is_removed or self.replica.draining
+
     def record_cold_request(self, now: float) -> None:
         """Record a request to a cold replica."""
         self._cold_requests.append(now)
@@ -155,6 +161,7 @@
         handle = self._handles.pop(replica_id, None)
         if handle is None:
             return
+        handle.is_removed = True
         self._invalidate_caches()
         self._retired.retire(handle.pool)
 
