Add a failing test: waiting requests are sent to a replica that drains

Two requests wait for the only connection to a replica; it announces that it drains while another replica is ready. Seen: all 3 requests run on the leaving replica, 0 on the other; expected 1 and 2.

--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -256,6 +256,23 @@
         assert out.counts.arrivals == 1
 
 
+async def test_request_that_waits_for_a_connection_is_not_sent_to_a_replica_that_drains() -> None:
+    """Guard against requests that reach a replica long after it has announced that it drains."""
+    async with open_site() as site:
+        leaving = await site.replica("r1", "booking", slots=1)
+        site.route(
+            plain_route(repeatable=False), booking=ServiceRules(name="booking", max_connections=1)
+        )
+        leaving.behaviour.service_time_s = 0.5
+        requests = [asyncio.create_task(site.ask(f"/booking/{n}")) for n in range(3)]
+        while not leaving.counts.runs:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        other = await site.replica("r2", "booking")
+        site.announce(leaving, slots=1, draining=True)
+        assert [(await request).status for request in requests] == [200, 200, 200]
+        assert (leaving.counts.runs.total(), other.counts.runs.total()) == (1, 2)
+
+
 async def test_connection_past_the_idle_timeout_of_the_replica_is_not_reused():
     """Guard against a booking written to a connection that the replica is closing."""
     async with open_site() as site:
