Add a failing test: a replica that drains after the store lost changes

The stand-in of the store now returns from a copy: revisions go back and are given out again, leases and changes since are gone, Store-Era rises by one, a watch from a revision that it lacks gets 410. Seen: 20 of 20 requests reach the replica 3 s after its announcement, whose revision is lower than the one known of it.

--- a/tests/platform_adapter/kv_standin.py
+++ b/tests/platform_adapter/kv_standin.py
@@ -5,6 +5,7 @@
   outage    how calls end during an outage: an error status, "reset" (the connection is reset) or
             "silent" (no response)
   unanswered write   a write whose connection is reset and which takes effect after a delay
+  copy      a state of some seconds ago; `restore` returns to it and begins the next era
 
 Flow: `open_kv` listens. Each call is counted, rejected during an outage, and otherwise served from
 one table of items with one revision.
@@ -32,12 +33,23 @@
     lease: int = 0
 
 
+@attrs.frozen
+class Copy:
+    """A copy of the store's state."""
+
+    rev: int
+    items: dict[str, Item]
+    history: tuple[tuple[int, str, bytes | None], ...]
+    leases: dict[int, float]
+
+
 @attrs.define(kw_only=True)
 class KvStandin:
     """State of the store; tests change it directly in place of the operator and the replicas.
 
     Attributes:
         rev: revision of the last change.
+        era: how often the store has returned from a copy, as all responses state.
         compacted_rev: watches from a lower revision are answered with 410.
         stale_items: items returned to lists that allow stale results, or None for the current ones.
         outage: "silent", "reset" or an error status; empty if the store works.
@@ -47,6 +59,7 @@
 
     port: int = 0
     rev: int = 100
+    era: int = 1
     page_size: int = 500
     items: dict[str, Item] = attrs.field(factory=dict)
     history: list[tuple[int, str, bytes | None]] = attrs.field(factory=list)
@@ -80,6 +93,17 @@
         self.compacted_rev = self.rev
         self.reset_connections()
 
+    def copy(self) -> Copy:
+        """Return a copy of the current state."""
+        return Copy(self.rev, dict(self.items), tuple(self.history), dict(self.leases))
+
+    def restore(self, copy: Copy) -> None:
+        """Return to a copy: later changes are lost, and their revisions are given out again."""
+        self.rev, self.items, self.leases = copy.rev, dict(copy.items), dict(copy.leases)
+        self.history[:] = copy.history
+        self.era += 1
+        self.reset_connections()
+
     def reset_connections(self) -> None:
         for writer in tuple(self.writers):
             writer.transport.abort()
@@ -132,7 +156,7 @@
     def _write_response(self, writer: asyncio.StreamWriter, status: int, payload: object) -> None:
         data = json.dumps(payload).encode()
         writer.write(
-            f"HTTP/1.1 {status} -\r\ncontent-type: application/json\r\n"
+            f"HTTP/1.1 {status} -\r\ncontent-type: application/json\r\nstore-era: {self.era}\r\n"
             f"content-length: {len(data)}\r\n\r\n".encode() + data
         )
 
@@ -182,7 +206,7 @@
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, object]:
         after, wait_s = int(query["after"]), int(query["wait_ms"]) / 1000
-        if after < self.compacted_rev:
+        if not self.compacted_rev <= after <= self.rev:
             return 410, {"current_rev": self.rev}
         try:
             async with asyncio.timeout(wait_s):
--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -30,6 +30,11 @@
 HOST = "lots.example"
 SHARDS = ("s1", "s2", "s3")
 GRACE_S = 5.0
+DRAIN_S = 3.0
+"""Seconds within which requests to a replica end after it has announced that it drains."""
+
+WATCH_DELAY_S = 2.0
+"""Seconds after which a VM without callers has received a change."""
 
 
 def configuration(version: int, **changes: object) -> dict[str, Any]:
@@ -267,6 +272,30 @@
         server.close()
 
 
+async def test_replica_that_drains_after_the_store_returned_from_a_copy_gets_no_requests(
+    tmp_path: Path,
+) -> None:
+    """Guard against requests to a replica whose announcement has a lower revision than before."""
+    async with open_platform(tmp_path) as platform:
+        await platform.until_ready()
+        copy = platform.kv.copy()
+        for _ in range(3):
+            for replica in platform.replicas.values():
+                platform.announce(replica)
+        await asyncio.sleep(WATCH_DELAY_S)
+        platform.kv.restore(copy)
+        for replica in platform.replicas.values():
+            platform.announce(replica)
+        await asyncio.sleep(WATCH_DELAY_S)
+        leaving = platform.replicas["i-booking-0"]
+        platform.announce(leaving, state="draining")
+        await asyncio.sleep(DRAIN_S)
+        arrivals = leaving.counts.arrivals
+        for number in range(20):
+            assert (await platform.request(f"/booking/{number}")).status == 200
+        assert leaving.counts.arrivals == arrivals
+
+
 async def test_shutdown_ends_within_its_grace_period_while_the_store_is_silent(
     tmp_path: Path,
 ) -> None:
