--- a/tests/platform_adapter/kv_standin.py
+++ b/tests/platform_adapter/kv_standin.py
@@ -50,6 +50,7 @@
     Attributes:
         rev: revision of the last change.
         era: how often the store has returned from a copy, as all responses state.
+        watched_rev: highest revision from which a client has watched in this era.
         compacted_rev: watches from a lower revision are answered with 410.
         stale_items: items returned to lists that allow stale results, or None for the current ones.
         outage: "silent", "reset" or an error status; empty if the store works.
@@ -60,6 +61,7 @@
     port: int = 0
     rev: int = 100
     era: int = 1
+    watched_rev: int = 0
     page_size: int = 500
     items: dict[str, Item] = attrs.field(factory=dict)
     history: list[tuple[int, str, bytes | None]] = attrs.field(factory=list)
@@ -102,8 +104,14 @@
         self.rev, self.items, self.leases = copy.rev, dict(copy.items), dict(copy.leases)
         self.history[:] = copy.history
         self.era += 1
+        self.watched_rev = 0
         self.reset_connections()
 
+    async def until_watched(self) -> None:
+        """Wait until a client watches for changes after the current revision."""
+        while self.watched_rev < self.rev:  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+
     def reset_connections(self) -> None:
         for writer in tuple(self.writers):
             writer.transport.abort()
@@ -208,6 +216,7 @@
         after, wait_s = int(query["after"]), int(query["wait_ms"]) / 1000
         if not self.compacted_rev <= after <= self.rev:
             return 410, {"current_rev": self.rev}
+        self.watched_rev = max(self.watched_rev, after)
         try:
             async with asyncio.timeout(wait_s):
                 while not self._events_since(query["prefix"], after):
--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -33,8 +33,8 @@
 DRAIN_S = 3.0
 """Seconds within which requests to a replica end after it has announced that it drains."""
 
-WATCH_DELAY_S = 2.0
-"""Seconds after which a VM without callers has received a change."""
+WATCH_TIMEOUT_S = 10.0
+"""Seconds within which a VM without callers has received all changes."""
 
 
 def configuration(version: int, **changes: object) -> dict[str, Any]:
@@ -282,17 +282,19 @@
         for _ in range(3):
             for replica in platform.replicas.values():
                 platform.announce(replica)
-        await asyncio.sleep(WATCH_DELAY_S)
+        await asyncio.wait_for(platform.kv.until_watched(), WATCH_TIMEOUT_S)
         platform.kv.restore(copy)
         for replica in platform.replicas.values():
             platform.announce(replica)
-        await asyncio.sleep(WATCH_DELAY_S)
+        await asyncio.wait_for(platform.kv.until_watched(), WATCH_TIMEOUT_S)
+        for number in range(2):
+            platform.replicas[f"i-booking-{number}"].behaviour.service_time_s = 0.05
         leaving = platform.replicas["i-booking-0"]
         platform.announce(leaving, state="draining")
         await asyncio.sleep(DRAIN_S)
         arrivals = leaving.counts.arrivals
-        for number in range(20):
-            assert (await platform.request(f"/booking/{number}")).status == 200
+        responses = await asyncio.gather(*(platform.request(f"/booking/{n}") for n in range(12)))
+        assert {response.status for response in responses} == {200}
         assert leaving.counts.arrivals == arrivals
 
 
