Return waiting requests when a replica ceases to be usable

Callers saw: a request reached a replica after it had announced that it leaves, as late as the request's own deadline allowed.

Cause: a request without a free connection waits in the pool of the replica that was selected. An announcement that the replica drains, or its removal, changes only later selections; each connection that becomes free still carried the next waiting request.

Why it works: when a replica ceases to be eligible, its pool ends all waiting requests as NOT_SENT at once. They have not run, so each is sent to another replica without drawing on the retry budget; with none, it is refused.

Looked for elsewhere: the other path's owner queue holds requests by service state and is not touched here. Replicas of an old version after a rollout's shift keep their waiting requests: not changed.

--- a/libs/forwarding/berylspindle_forwarding/replica_pool.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_pool.py
@@ -6,8 +6,8 @@
 
 Flow: `submit` sends on the most recently used free connection; otherwise the request waits for the
 first connection that becomes free or is opened. A failed connect ends all waiting requests as
-NOT_SENT, because the replica accepts no connections and another one may. `withdraw` removes a
-request that still waits.
+NOT_SENT, because the replica accepts no connections and another one may. `fail_waiting` does the
+same for a replica that must get no more requests. `withdraw` removes a request that still waits.
 
 Guards: a request states the time left to its caller and may wait for a connection, so it is built
 only when a connection can carry it. A replica accepts a limited number of connections from all VMs
@@ -106,6 +106,13 @@
                 return True
         return False
 
+    def fail_waiting(self, detail: str) -> None:
+        """End all requests that wait for a connection as NOT_SENT."""
+        ended, waiting = ExchangeFailure(ExchangeFailureKind.NOT_SENT, detail), list(self._waiting)
+        self._waiting.clear()
+        for _, sink in waiting:
+            sink.on_failure(ended)
+
     def warm_up(self) -> None:
         """Open a connection in advance unless one is open or being opened."""
         if not self._open and not self._tasks:
@@ -131,7 +138,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for connection in tuple(self._open):
             connection.close()
-        self._fail_waiting("connection pool is closed")
+        self.fail_waiting("connection pool is closed")
 
     @property
     def is_idle(self) -> bool:
@@ -169,7 +176,7 @@
             )
         except OSError as error:
             self._failures += 1
-            self._fail_waiting(f"connect: {error or type(error).__name__}")
+            self.fail_waiting(f"connect: {error or type(error).__name__}")
             return
         if self._closed:
             connection.close()
@@ -193,12 +200,6 @@
             return
         self._free.append(connection)
 
-    def _fail_waiting(self, detail: str) -> None:
-        ended, waiting = ExchangeFailure(ExchangeFailureKind.NOT_SENT, detail), list(self._waiting)
-        self._waiting.clear()
-        for _, sink in waiting:
-            sink.on_failure(ended)
-
 
 class RetiredPools:
     """Pools to addresses no longer in use; each is closed after its last request has ended."""
--- a/libs/forwarding/berylspindle_forwarding/replica_registry.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_registry.py
@@ -12,9 +12,11 @@
 replica for each attempt. The health of a replica is kept as long as its address and its start time
 stay the same.
 
-Guard: a cold replica fails under full load, also if eight VMs send only a few requests each. So
-each VM sends in any second at most its part of `COLD_SHARE` of the replica's rate, or one request
-if that part is less; the rest of the rate is left for VMs that do not know of each other yet.
+Guards: a request may wait for a connection longer than a replica that is draining may get requests.
+So requests that wait for a replica that ceases to be usable end as NOT_SENT and go to another one.
+A cold replica fails under full load, also if eight VMs send only a few requests each. So each VM
+sends in any second at most its part of `COLD_SHARE` of the replica's rate, or one request if that
+part is less; the rest of the rate is left for VMs that do not know of each other yet.
 """
 
 from __future__ import annotations
@@ -155,6 +157,7 @@
         handle.health.slots = max(1, replica.slots)
         handle.health.cold_until = now + replica.cold_ms / 1000
         self._invalidate_caches()
+        self._return_waiting(handle)
 
     def remove(self, replica_id: str) -> None:
         """Remove a replica; its pending requests are finished."""
@@ -163,12 +166,15 @@
             return
         handle.is_removed = True
         self._invalidate_caches()
+        self._return_waiting(handle)
         self._retired.retire(handle.pool)
 
     def set_excluded_data_centres(self, data_centres: frozenset[str]) -> None:
         """Exclude the replicas of these data centres."""
         self._excluded_data_centres = data_centres
         self._invalidate_caches()
+        for handle in tuple(self._handles.values()):
+            self._return_waiting(handle)
 
     def set_table(self, table: RoutingTable) -> None:
         """Apply the connection and rate limits of a routing table."""
@@ -227,12 +233,21 @@
         return tuple(
             handle
             for handle in self._handles.values()
-            if handle.replica.service == service
-            and not handle.replica.draining
-            and not handle.is_misplaced
-            and handle.replica.data_centre not in self._excluded_data_centres
+            if handle.replica.service == service and self._is_eligible(handle)
+        )
+
+    def _is_eligible(self, handle: ReplicaHandle) -> bool:
+        """Return whether a replica may get requests, whatever its version."""
+        return not (
+            handle.is_leaving
+            or handle.is_misplaced
+            or handle.replica.data_centre in self._excluded_data_centres
         )
 
+    def _return_waiting(self, handle: ReplicaHandle) -> None:
+        if not self._is_eligible(handle):
+            handle.pool.fail_waiting("the replica is no longer usable")
+
     def missing_shares(self, services: tuple[str, ...]) -> Mapping[str, float]:
         """Return by data centre the share of services without a usable replica there.
 
@@ -303,6 +318,7 @@
         """Exclude a replica whose address now belongs to another one."""
         handle.is_misplaced = True
         self._invalidate_caches()
+        self._return_waiting(handle)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -256,7 +256,10 @@
         assert out.counts.arrivals == 1
 
 
-async def test_request_that_waits_for_a_connection_is_not_sent_to_a_replica_that_drains() -> None:
+@pytest.mark.parametrize("reason", ["draining", "removed", "data centre out", "misdirected"])
+async def test_request_that_waits_for_a_connection_is_not_sent_to_a_replica_that_leaves(
+    reason: str,
+) -> None:
     """Guard against requests that reach a replica long after it has announced that it drains."""
     async with open_site() as site:
         leaving = await site.replica("r1", "booking", slots=1)
@@ -267,8 +270,16 @@
         requests = [asyncio.create_task(site.ask(f"/booking/{n}")) for n in range(3)]
         while not leaving.counts.runs:  # noqa: ASYNC110
             await asyncio.sleep(0.01)
-        other = await site.replica("r2", "booking")
-        site.announce(leaving, slots=1, draining=True)
+        other = await site.replica("r2", "booking", data_centre="b")
+        if reason == "draining":
+            site.announce(leaving, slots=1, draining=True)
+        elif reason == "removed":
+            site.withdraw(leaving)
+        elif reason == "data centre out":
+            site.take_out("a")
+        else:
+            registry = site.forwarder.registry
+            registry.mark_misplaced(registry.usable("booking")[0])
         assert [(await request).status for request in requests] == [200, 200, 200]
         assert (leaving.counts.runs.total(), other.counts.runs.total()) == (1, 2)
 
