Order the store's revisions by era, so that later entries are not ignored

Callers saw: after the store had returned from a copy, requests still went to a replica that had announced that it drains, for as long as it lived.

Cause: a VM ignores an entry whose revision is not above the one it knows. The store's counter goes back with a copy, so an entry that is written afterwards can have a lower number than one that was known before.

Why it works: the adapter makes one revision of the era, which each response states, and the number; the era is in the high bits. All comparisons of revisions stay as they are and are right again, in the catalogue, the mirrors, their followers and the writes that expect a revision. An entry that only has a new era is not reported as a change, so that a warm replica is not taken for a cold one. Mirrors of the earlier protocol are not followed: their revisions do not compare.

--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -254,7 +254,7 @@
         self._has_recent_requests: Final = has_recent_requests
         self._now: Final = now
         self._uniform: Final = uniform
-        self._revisions: dict[str, int] = {}
+        self._applied: Final[dict[str, StoredValue]] = {}
         self._deferred_deletions: dict[str, StoredValue] = {}
         self._settled_at = 0.0
         self._vms_settled_at = 0.0
@@ -317,7 +317,7 @@
         self._mirror.replace_entries(found.values(), revision)
         for entry in found.values():
             self._apply(entry)
-        for key in [key for key in self._revisions if key not in found]:
+        for key in [key for key in self._applied if key not in found]:
             self._apply(StoredValue(key=key, value=None, revision=revision))
         self._listener.on_listed()
         return revision
@@ -370,9 +370,10 @@
         await self._selector.record_success(upstream)
 
     def _apply(self, entry: StoredValue) -> None:
-        known_revision = self._revisions.get(entry.key, 0)
+        known = self._applied.get(entry.key)
+        known_revision = 0 if known is None else known.revision
         if entry.value is None:
-            if entry.key in self._revisions and entry.revision >= known_revision:
+            if known is not None and entry.revision >= known_revision:
                 self._on_deleted(entry)
             return
         self._deferred_deletions.pop(entry.key, None)
@@ -380,14 +381,21 @@
             self._listener.on_older_entry(entry, known_revision, from_mirror=self._follows_mirror)
         if entry.revision <= known_revision:
             return
-        self._revisions[entry.key] = entry.revision
-        self._notify(entry)
+        self._applied[entry.key] = entry
+        if known is None or not self._is_same_change(known, entry):
+            self._notify(entry)
+
+    def _is_same_change(self, known: StoredValue, entry: StoredValue) -> bool:
+        """Return whether an entry has a new revision, as after a change of the era, and no more."""
+        if known.value != entry.value:
+            return False
+        return self._reader.decode(known) == self._reader.decode(entry)
 
     def _on_deleted(self, entry: StoredValue) -> None:
         if self._now() < self._settles_at(entry.key):
             self._deferred_deletions[entry.key] = entry
             return
-        del self._revisions[entry.key]
+        del self._applied[entry.key]
         self._notify(entry)
 
     def _settles_at(self, key: str) -> float:
@@ -399,7 +407,7 @@
         now = self._now()
         settled = [key for key in self._deferred_deletions if now >= self._settles_at(key)]
         for key in settled:
-            self._revisions.pop(key, None)
+            self._applied.pop(key, None)
             self._notify(self._deferred_deletions.pop(key))
 
     def _notify(self, entry: StoredValue) -> None:
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -51,6 +51,7 @@
 from berylspindle_forwarding.vm_registry import VmRegistry
 from berylspindle_model import codec
 from berylspindle_model.errors import ErrorKind, Refusal
+from berylspindle_store.revisions import describe_revision
 from berylspindle_store.store import Store, StoredValue
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.logs import logger
@@ -250,7 +251,11 @@
         if not from_mirror:
             self._log.warning(
                 "ignored store entry with an older revision",
-                extra={"key": entry.key, "revision": entry.revision, "known": known_revision},
+                extra={
+                    "key": entry.key,
+                    "revision": describe_revision(entry.revision),
+                    "known": describe_revision(known_revision),
+                },
             )
 
     def on_peer_isolation(self, cut_off: bool, source: object) -> None:
--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -41,8 +41,11 @@
 
 T = TypeVar("T")
 
-LIST_PATH: Final = "/mirror/entries"
-WATCH_PATH: Final = "/mirror/changes"
+LIST_PATH: Final = "/mirror/2/entries"
+WATCH_PATH: Final = "/mirror/2/changes"
+"""Paths with the version of the protocol. Version 1 had revisions without an era, which do not
+compare with those of version 2: VMs of different versions follow the store, not each other."""
+
 CONTENT_TYPE: Final = "application/msgpack"
 
 MAX_CHANGES: Final = 4000
--- a/libs/store/berylspindle_store/store.py
+++ b/libs/store/berylspindle_store/store.py
@@ -1,8 +1,8 @@
 """Interface of the platform's configuration store.
 
 Terms:
-  revision          a number that grows with every change of the store; the revision of an entry is
-                    that of its last change
+  revision          a number that grows with every change of the store, also if the store returns
+                    from a copy (`revisions`); the revision of an entry is that of its last change
   compare-and-swap  a write that takes effect only if the entry has the expected revision; revision
                     0 expects no entry
   lease             a time to live on the store's clock; the store deletes entries bound to an
