Keep a replica out that the store's copy still has as ready

Callers would see: after the store has returned from a copy, requests go to a replica that is known to be draining or gone, until it writes again.

Cause: a list after the return holds entries as they were some seconds ago, with revisions of the new era. They compare higher than what the VM knows, though they are older.

Why it works: a VM remembers the entries that were replaced or deleted. A listed entry with the key, number and value of one of them is from the copy and is deferred for the time in which deletions are deferred after an outage. Its writer's next write is applied at once; without one, the copy holds.

Not covered: a VM that listed only after the change has no memory of it.

--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -4,6 +4,8 @@
   change     the meaning of one entry of the store, decoded by a `CatalogueReader`
   settling   the time after an outage of the store in which deleted entries are kept; every live
              process announces itself again within this time
+  copy       a state of some seconds ago from which the store may return after an outage; later
+             changes are lost, and their writers write them again
 
 Flow: `run` lists all entries, then watches for changes. It passes each change to a
 `CatalogueListener` and each entry to this VM's own mirror. An `UpstreamSelector` selects whether
@@ -12,7 +14,9 @@
 Guards: leases of live replicas expire while the store is unavailable, and their entries are
 deleted. If these deletions were applied, a service would be left without a replica just when the
 store is back. So a deletion within `SETTLE_S` of an outage is deferred until that time is over, and
-applied only if the entry has not been written again. An entry that can't be read is ignored and
+applied only if the entry has not been written again. An entry that a copy has as it was before a
+known change is deferred in the same way: the copy may have a replica as ready that is known to be
+draining or gone. An entry that can't be read is ignored and
 affects no other entry. If the store stops responding while a watch is pending, the watch may be
 neither answered nor disconnected, and all changes would be missed until its time-out. So a pending
 watch is aborted as soon as a call that keeps this VM announced fails (`abort_store_watch`).
@@ -29,6 +33,7 @@
 
 from berylspindle_decisions.quarantine import SuspectRecord
 from berylspindle_forwarding.mirror import Mirror
+from berylspindle_forwarding.superseded_entries import SupersededEntries
 from berylspindle_forwarding.upstream_selector import Upstream, UpstreamSelector
 from berylspindle_model.rollout import (
     RolloutAnswers,
@@ -37,6 +42,7 @@
     RolloutStatus,
 )
 from berylspindle_model.routing import Replica, RoutingTable
+from berylspindle_store.revisions import era_of
 from berylspindle_store.store import StoredValue, StoreOutcomeUnknown, StoreUnavailable, WatchResult
 
 STORE_WATCH_WAIT_S: Final = 28.0
@@ -255,7 +261,9 @@
         self._now: Final = now
         self._uniform: Final = uniform
         self._applied: Final[dict[str, StoredValue]] = {}
-        self._deferred_deletions: dict[str, StoredValue] = {}
+        self._superseded: Final = SupersededEntries()
+        self._deferred: dict[str, StoredValue] = {}
+        self._era = 0
         self._settled_at = 0.0
         self._vms_settled_at = 0.0
         self._watch_timeout: asyncio.Timeout | None = None
@@ -314,18 +322,19 @@
             found.update((entry.key, entry) for entry in listed.entries)
         assert revision is not None
         await self._on_success(upstream)
+        self._observe_era(revision)
         self._mirror.replace_entries(found.values(), revision)
         for entry in found.values():
             self._apply(entry)
-        for key in [key for key in self._applied if key not in found]:
+        for key in [key for key in {**self._applied, **self._deferred} if key not in found]:
             self._apply(StoredValue(key=key, value=None, revision=revision))
         self._listener.on_listed()
         return revision
 
     async def _watch(self, upstream: Upstream, after: int) -> int:
         wait = STORE_WATCH_WAIT_S if upstream.wait is None else upstream.wait
-        if self._deferred_deletions:
-            settled_at = min(map(self._settles_at, self._deferred_deletions))
+        if self._deferred:
+            settled_at = min(map(self._settles_at, self._deferred))
             wait = min(wait, max(0.05, settled_at - self._now()))
         result = await self._call_watch(upstream, after, wait)
         await self._on_success(upstream)
@@ -335,7 +344,7 @@
         self._mirror.apply_changes(result.entries, result.revision)
         for entry in result.entries:
             self._apply(entry)
-        self._apply_settled_deletions()
+        self._apply_settled()
         return result.revision
 
     async def _call_watch(self, upstream: Upstream, after: int, wait: float) -> WatchResult:
@@ -369,20 +378,42 @@
             self._listener.on_store_reachability(True, "")
         await self._selector.record_success(upstream)
 
+    def _observe_era(self, revision: int) -> None:
+        """Begin to settle if the store has returned from a copy."""
+        era, known_era = era_of(revision), self._era
+        self._era = max(era, known_era)
+        if not 0 < known_era < era:
+            return
+        now = self._now()
+        self._settled_at = max(self._settled_at, now + SETTLE_S)
+        self._vms_settled_at = max(self._vms_settled_at, now + VM_SETTLE_S)
+        self._mirror.set_settled_at(self._settled_at)
+
     def _apply(self, entry: StoredValue) -> None:
         known = self._applied.get(entry.key)
         known_revision = 0 if known is None else known.revision
         if entry.value is None:
-            if known is not None and entry.revision >= known_revision:
-                self._on_deleted(entry)
+            if known is None:
+                self._deferred.pop(entry.key, None)
+            elif entry.revision >= known_revision:
+                self._on_deleted(known, entry)
             return
-        self._deferred_deletions.pop(entry.key, None)
+        self._deferred.pop(entry.key, None)
         if entry.revision < known_revision:
             self._listener.on_older_entry(entry, known_revision, from_mirror=self._follows_mirror)
         if entry.revision <= known_revision:
             return
+        if entry in self._superseded and self._now() < self._settles_at(entry.key):
+            self._deferred[entry.key] = entry
+            return
+        self._accept(known, entry)
+
+    def _accept(self, known: StoredValue | None, entry: StoredValue) -> None:
         self._applied[entry.key] = entry
-        if known is None or not self._is_same_change(known, entry):
+        if known is None:
+            self._notify(entry)
+        elif not self._is_same_change(known, entry):
+            self._superseded.add(known)
             self._notify(entry)
 
     def _is_same_change(self, known: StoredValue, entry: StoredValue) -> bool:
@@ -391,24 +422,28 @@
             return False
         return self._reader.decode(known) == self._reader.decode(entry)
 
-    def _on_deleted(self, entry: StoredValue) -> None:
+    def _on_deleted(self, known: StoredValue, entry: StoredValue) -> None:
         if self._now() < self._settles_at(entry.key):
-            self._deferred_deletions[entry.key] = entry
+            self._deferred[entry.key] = entry
             return
         del self._applied[entry.key]
+        self._superseded.add(known)
         self._notify(entry)
 
     def _settles_at(self, key: str) -> float:
         return self._vms_settled_at if self._reader.is_vm_key(key) else self._settled_at
 
-    def _apply_settled_deletions(self) -> None:
-        if not self._deferred_deletions:
+    def _apply_settled(self) -> None:
+        if not self._deferred:
             return
         now = self._now()
-        settled = [key for key in self._deferred_deletions if now >= self._settles_at(key)]
+        settled = [key for key in self._deferred if now >= self._settles_at(key)]
         for key in settled:
-            self._applied.pop(key, None)
-            self._notify(self._deferred_deletions.pop(key))
+            entry, known = self._deferred.pop(key), self._applied.get(key)
+            if entry.value is not None:
+                self._accept(known, entry)
+            elif known is not None:
+                self._on_deleted(known, entry)
 
     def _notify(self, entry: StoredValue) -> None:
         change = self._reader.decode(entry)
