--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -33,6 +33,10 @@
 DRAIN_S = 3.0
 """Seconds within which requests to a replica end after it has announced that it drains."""
 
+CONFIG_APPLY_S = 7.0
+"""Seconds within which a version is in force after the return of the store: the 4 s after which a
+VM counts as in touch and the 3 s from there."""
+
 WATCH_TIMEOUT_S = 10.0
 """Seconds within which a VM without callers has received all changes."""
 
@@ -298,6 +302,54 @@
         assert leaving.counts.arrivals == arrivals
 
 
+async def until_route_is_dropped(platform: Platform, *clients: HttpClient) -> None:
+    """Wait until all VMs answer requests of the route that version 2 drops with 404."""
+    async with asyncio.timeout(CONFIG_APPLY_S):
+        for platform.client in clients:
+            while (await platform.request("/lots/2")).status != 404:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+
+
+async def test_configuration_written_after_the_store_returned_from_a_copy_is_in_force(
+    tmp_path: Path,
+) -> None:
+    """Guard against VMs that keep an old table: one follows the store, one a mirror."""
+    async with open_platform(tmp_path) as platform:
+        await platform.until_ready()
+        copy = platform.kv.copy()
+        _, follower, ready, _ = await start_vm(
+            platform.stack, platform.kv, tmp_path, "front-2", seeds=(platform.control,)
+        )
+        first, platform.ready = platform.client, ready
+        await platform.until_ready()
+        for _ in range(3):
+            for replica in platform.replicas.values():
+                platform.announce(replica)
+        await asyncio.wait_for(platform.kv.until_watched(), WATCH_TIMEOUT_S)
+        platform.kv.restore(copy)
+        await asyncio.wait_for(platform.kv.until_watched(), WATCH_TIMEOUT_S)
+        platform.kv.put("op/config", configuration(2, routes=configuration(2)["routes"][1:]))
+        await until_route_is_dropped(platform, first, follower)
+
+
+async def test_configuration_is_in_force_if_the_revision_watched_was_given_out_again(
+    tmp_path: Path,
+) -> None:
+    """Guard against a watch that continues in another history and misses what was before."""
+    async with open_platform(tmp_path) as platform:
+        await platform.until_ready()
+        copy = platform.kv.copy()
+        platform.announce(platform.replicas["i-s1-0"])
+        await asyncio.wait_for(platform.kv.until_watched(), WATCH_TIMEOUT_S)
+        platform.kv.outage = "reset"
+        platform.kv.restore(copy)
+        platform.kv.put("op/config", configuration(2, routes=configuration(2)["routes"][1:]))
+        for replica in platform.replicas.values():
+            platform.announce(replica)
+        platform.kv.outage = ""
+        await until_route_is_dropped(platform, platform.client)
+
+
 async def test_shutdown_ends_within_its_grace_period_while_the_store_is_silent(
     tmp_path: Path,
 ) -> None:
