--- a/tests/platform_adapter/test_platform_store.py
+++ b/tests/platform_adapter/test_platform_store.py
@@ -80,7 +80,7 @@
 async def test_watch_returns_changes_in_order_and_reports_compaction():
     async with open_store() as (kv, store):
         kv.put("op/config", {"version": 1})
-        after = kv.rev
+        after = make_revision(kv.era, kv.rev)
         waiting = asyncio.create_task(store.watch("op/", after=after, wait=5))
         await asyncio.sleep(0.02)
         kv.put("servers/x", {})
@@ -114,7 +114,7 @@
         with pytest.raises(StoreUnavailable):
             await store.get("a")
         with pytest.raises(StoreUnavailable):
-            await store.watch("a", after=kv.rev, wait=0.1)
+            await store.watch("a", after=make_revision(kv.era, kv.rev), wait=0.1)
         with pytest.raises(write_error):
             await store.compare_and_swap("a", b"1", expect=0)
 
