--- a/tests/platform_adapter/kv_standin.py
+++ b/tests/platform_adapter/kv_standin.py
@@ -95,6 +95,12 @@
         self.compacted_rev = self.rev
         self.reset_connections()
 
+    def grant_lease(self, ttl_ms: float) -> int:
+        """Grant a lease and return its id."""
+        lease = 1 + len(self.leases)
+        self.leases[lease] = ttl_ms
+        return lease
+
     def copy(self) -> Copy:
         """Return a copy of the current state."""
         return Copy(self.rev, dict(self.items), tuple(self.history), dict(self.leases))
@@ -183,8 +189,7 @@
         if path == "/-/kv-txn":
             return self._apply_transaction(body)
         if path == "/-/kv-lease":
-            lease = 1 + len(self.leases)
-            self.leases[lease] = body["ttl_ms"]
+            lease = self.grant_lease(body["ttl_ms"])
             return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
         lease = int(path.rpartition("/")[2])
         if lease not in self.leases:
--- a/tests/platform_adapter/test_platform_store.py
+++ b/tests/platform_adapter/test_platform_store.py
@@ -161,3 +161,22 @@
             await store.compare_and_swap("mine/a", b"two", expect=mine.revision)
         assert raised.value.current == other
         await store.compare_and_swap("mine/a", b"two", expect=other.revision)
+
+
+async def test_lease_granted_before_a_return_from_a_copy_is_not_taken_for_another_vms():
+    """Guard against a VM that renews or ends the lease of another VM, which got its number."""
+    async with open_store() as (kv, store):
+        copy = kv.copy()
+        mine = await store.grant_lease(15.0)
+        kv.restore(copy)
+        other = kv.grant_lease(15_000)
+        with pytest.raises(StoreOutcomeUnknown):
+            await store.keep_alive(mine.id)
+        with pytest.raises(StoreLeaseNotFound):
+            await store.keep_alive(mine.id)
+        with pytest.raises(StoreLeaseNotFound):
+            await store.revoke(mine.id)
+        with pytest.raises(StoreLeaseNotFound):
+            await store.compare_and_swap("mine/a", b"one", expect=0, lease=mine.id)
+        assert list(kv.leases) == [other]
+        assert "mine/a" not in kv.items
