--- a/tests/platform_adapter/test_platform_store.py
+++ b/tests/platform_adapter/test_platform_store.py
@@ -180,3 +180,17 @@
             await store.compare_and_swap("mine/a", b"one", expect=0, lease=mine.id)
         assert list(kv.leases) == [other]
         assert "mine/a" not in kv.items
+
+
+async def test_cached_list_from_before_a_return_from_a_copy_is_not_used():
+    """Guard against a VM that starts with lost entries and ignores those written in their place."""
+    async with open_store() as (kv, store):
+        copy = kv.copy()
+        for number in range(5):
+            kv.put("op/config", {"version": number})
+        kv.stale_items = dict(kv.items)
+        kv.restore(copy)
+        kv.put("op/config", {"version": 9})
+        listed = await store.list_cached("")
+        assert [entry.value for entry in listed.entries] == [b'{"version": 9}']
+        assert listed.revision == make_revision(kv.era, kv.rev)
