Move the choice of the entries that take effect into a module of its own

Which entry is applied, deferred or known to be replaced is now decided in applied_entries, with the time as an argument; the catalogue follows the upstreams and reports changes. No change of behaviour.

--- /dev/null
+++ b/libs/forwarding/berylspindle_forwarding/applied_entries.py
@@ -0,0 +1,151 @@
+"""Decide which entries of the store take effect, and which are deferred after an outage.
+
+Terms:
+  applied     the latest entry of a key that is in effect
+  settling    the time after an outage of the store in which deletions are deferred; every live
+              process announces itself again within this time
+  copy        a state of some seconds ago from which the store may return after an outage; later
+              changes are lost, and their writers write them again
+  superseded  an entry that was replaced or deleted
+
+Flow: `apply` receives each entry and returns whether it takes effect now. `take_settled` returns
+the deferred entries whose time has come. Times are in seconds of the caller's clock.
+
+Guards: leases of live replicas expire while the store is unavailable, and their entries are
+deleted. If these deletions were applied, a service would be left without a replica just when the
+store is back. A copy holds entries as they were before a known change, such as a replica as ready
+that is known to be draining or gone. They have the key, number and value of a superseded entry,
+which an entry that is written after the return has not, and are deferred like deletions.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Collection
+from typing import Final
+
+from berylspindle_store.revisions import era_of, number_of
+from berylspindle_store.store import StoredValue
+
+SETTLE_S: Final = 2.5
+VM_SETTLE_S: Final = 13.0
+"""Seconds after an outage of the store in which entries are deferred: `VM_SETTLE_S` for entries of
+VMs, `SETTLE_S` for all others. A VM whose lease has expired writes its entry again only at its next
+renewal."""
+
+MAX_SUPERSEDED: Final = 4000
+"""Superseded entries that are kept; a copy is some seconds old, and a second has tens of
+changes."""
+
+
+class AppliedEntries:
+    """The applied and deferred entries of one VM.
+
+    `is_vm_key` returns whether a key belongs to a VM's entry, and `is_same_change` whether two
+    entries with equal values mean the same.
+    """
+
+    def __init__(
+        self,
+        *,
+        is_vm_key: Callable[[str], bool],
+        is_same_change: Callable[[StoredValue, StoredValue], bool],
+    ) -> None:
+        self._is_vm_key: Final = is_vm_key
+        self._is_same_change: Final = is_same_change
+        self._applied: Final[dict[str, StoredValue]] = {}
+        self._deferred: Final[dict[str, StoredValue]] = {}
+        self._superseded: Final[OrderedDict[tuple[str, int], bytes | None]] = OrderedDict()
+        self._era = 0
+        self._settled_at = 0.0
+        self._vms_settled_at = 0.0
+
+    @property
+    def settled_at(self) -> float:
+        """Return until when entries other than those of VMs are deferred."""
+        return self._settled_at
+
+    @property
+    def next_settled_at(self) -> float | None:
+        """Return when the next deferred entry takes effect, or None if none is deferred."""
+        return min(map(self._settles_at, self._deferred), default=None)
+
+    def known_revision(self, key: str) -> int:
+        """Return the revision of the applied entry of a key, or 0 if there is none."""
+        applied = self._applied.get(key)
+        return applied.revision if applied is not None else 0
+
+    def missing_keys(self, listed: Collection[str]) -> list[str]:
+        """Return the keys of applied and deferred entries that a list does not have."""
+        return [key for key in {**self._applied, **self._deferred} if key not in listed]
+
+    def set_settled_at(self, at: float) -> None:
+        """Defer entries until `at`, and entries of VMs longer."""
+        self._settled_at = at
+        if at:
+            self._vms_settled_at = max(self._vms_settled_at, at + VM_SETTLE_S - SETTLE_S)
+
+    def observe_era(self, now: float, revision: int) -> None:
+        """Defer entries from now on if the store has returned from a copy."""
+        era, known_era = era_of(revision), self._era
+        self._era = max(era, known_era)
+        if 0 < known_era < era:
+            self.set_settled_at(max(self._settled_at, now + SETTLE_S))
+
+    def apply(self, now: float, entry: StoredValue) -> bool:
+        """Return whether an entry takes effect now; one that is older than the applied does not."""
+        if entry.value is None:
+            return self._delete(now, entry)
+        self._deferred.pop(entry.key, None)
+        if entry.revision <= self.known_revision(entry.key):
+            return False
+        if self._is_superseded(entry) and now < self._settles_at(entry.key):
+            self._deferred[entry.key] = entry
+            return False
+        return self._put(entry)
+
+    def take_settled(self, now: float) -> list[StoredValue]:
+        """Return the deferred entries that take effect now."""
+        settled = [key for key in self._deferred if now >= self._settles_at(key)]
+        entries = [self._deferred.pop(key) for key in settled]
+        return [
+            entry
+            for entry in entries
+            if (self._delete(now, entry) if entry.value is None else self._put(entry))
+        ]
+
+    def _put(self, entry: StoredValue) -> bool:
+        known = self._applied.get(entry.key)
+        self._applied[entry.key] = entry
+        if known is None:
+            return True
+        if known.value == entry.value and self._is_same_change(known, entry):
+            return False
+        self._supersede(known)
+        return True
+
+    def _delete(self, now: float, entry: StoredValue) -> bool:
+        known = self._applied.get(entry.key)
+        if known is None:
+            self._deferred.pop(entry.key, None)
+            return False
+        if entry.revision < known.revision:
+            return False
+        if now < self._settles_at(entry.key):
+            self._deferred[entry.key] = entry
+            return False
+        del self._applied[entry.key]
+        self._supersede(known)
+        return True
+
+    def _supersede(self, entry: StoredValue) -> None:
+        self._superseded[entry.key, number_of(entry.revision)] = entry.value
+        if len(self._superseded) > MAX_SUPERSEDED:
+            self._superseded.popitem(last=False)
+
+    def _is_superseded(self, entry: StoredValue) -> bool:
+        identity = (entry.key, number_of(entry.revision))
+        return identity in self._superseded and self._superseded[identity] == entry.value
+
+    def _settles_at(self, key: str) -> float:
+        return self._vms_settled_at if self._is_vm_key(key) else self._settled_at
--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -1,25 +1,17 @@
 """Follow the store's entries of routes, replicas and data centres in one task.
 
 Terms:
-  change     the meaning of one entry of the store, decoded by a `CatalogueReader`
-  settling   the time after an outage of the store in which deleted entries are kept; every live
-             process announces itself again within this time
-  copy       a state of some seconds ago from which the store may return after an outage; later
-             changes are lost, and their writers write them again
+  change   the meaning of one entry of the store, decoded by a `CatalogueReader`
 
 Flow: `run` lists all entries, then watches for changes. It passes each change to a
 `CatalogueListener` and each entry to this VM's own mirror. An `UpstreamSelector` selects whether
 the store or a peer is followed. Failed calls are retried with exponential backoff.
 
-Guards: leases of live replicas expire while the store is unavailable, and their entries are
-deleted. If these deletions were applied, a service would be left without a replica just when the
-store is back. So a deletion within `SETTLE_S` of an outage is deferred until that time is over, and
-applied only if the entry has not been written again. An entry that a copy has as it was before a
-known change is deferred in the same way: the copy may have a replica as ready that is known to be
-draining or gone. An entry that can't be read is ignored and
-affects no other entry. If the store stops responding while a watch is pending, the watch may be
-neither answered nor disconnected, and all changes would be missed until its time-out. So a pending
-watch is aborted as soon as a call that keeps this VM announced fails (`abort_store_watch`).
+Guards: an entry may be deferred after an outage of the store (`applied_entries`). An entry that
+can't be read is ignored and affects no other entry. If the store stops responding while a watch is
+pending, the watch may be neither answered nor disconnected, and all changes would be missed until
+its time-out. So a pending watch is aborted as soon as a call that keeps this VM announced fails
+(`abort_store_watch`).
 """
 
 from __future__ import annotations
@@ -32,8 +24,8 @@
 import attrs
 
 from berylspindle_decisions.quarantine import SuspectRecord
+from berylspindle_forwarding.applied_entries import SETTLE_S, AppliedEntries
 from berylspindle_forwarding.mirror import Mirror
-from berylspindle_forwarding.superseded_entries import SupersededEntries
 from berylspindle_forwarding.upstream_selector import Upstream, UpstreamSelector
 from berylspindle_model.rollout import (
     RolloutAnswers,
@@ -42,7 +34,6 @@
     RolloutStatus,
 )
 from berylspindle_model.routing import Replica, RoutingTable
-from berylspindle_store.revisions import era_of
 from berylspindle_store.store import StoredValue, StoreOutcomeUnknown, StoreUnavailable, WatchResult
 
 STORE_WATCH_WAIT_S: Final = 28.0
@@ -57,12 +48,6 @@
 """The same interval if no caller has sent a request to this VM for some seconds, as right after its
 start, when all replicas announce themselves."""
 
-SETTLE_S: Final = 2.5
-VM_SETTLE_S: Final = 13.0
-"""Seconds after an outage of the store in which deletions are deferred: `VM_SETTLE_S` for entries
-of VMs, `SETTLE_S` for all others. A VM whose lease has expired writes its entry again only at its
-next renewal."""
-
 STARTUP_LISTS: Final = 4
 """Maximum number of lists before the first watch if all VMs of the system start for the first time.
 The lists end as soon as there is a watcher to follow. With a watch of the store instead, each VM
@@ -260,12 +245,10 @@
         self._has_recent_requests: Final = has_recent_requests
         self._now: Final = now
         self._uniform: Final = uniform
-        self._applied: Final[dict[str, StoredValue]] = {}
-        self._superseded: Final = SupersededEntries()
-        self._deferred: dict[str, StoredValue] = {}
-        self._era = 0
-        self._settled_at = 0.0
-        self._vms_settled_at = 0.0
+        self._entries: Final = AppliedEntries(
+            is_vm_key=lambda key: self._reader.is_vm_key(key),
+            is_same_change=self._is_same_change,
+        )
         self._watch_timeout: asyncio.Timeout | None = None
         self._follows_mirror = False
 
@@ -322,19 +305,19 @@
             found.update((entry.key, entry) for entry in listed.entries)
         assert revision is not None
         await self._on_success(upstream)
-        self._observe_era(revision)
+        self._entries.observe_era(self._now(), revision)
+        self._mirror.set_settled_at(self._entries.settled_at)
         self._mirror.replace_entries(found.values(), revision)
         for entry in found.values():
             self._apply(entry)
-        for key in [key for key in {**self._applied, **self._deferred} if key not in found]:
+        for key in self._entries.missing_keys(found):
             self._apply(StoredValue(key=key, value=None, revision=revision))
         self._listener.on_listed()
         return revision
 
     async def _watch(self, upstream: Upstream, after: int) -> int:
         wait = STORE_WATCH_WAIT_S if upstream.wait is None else upstream.wait
-        if self._deferred:
-            settled_at = min(map(self._settles_at, self._deferred))
+        if (settled_at := self._entries.next_settled_at) is not None:
             wait = min(wait, max(0.05, settled_at - self._now()))
         result = await self._call_watch(upstream, after, wait)
         await self._on_success(upstream)
@@ -344,7 +327,8 @@
         self._mirror.apply_changes(result.entries, result.revision)
         for entry in result.entries:
             self._apply(entry)
-        self._apply_settled()
+        for entry in self._entries.take_settled(self._now()):
+            self._notify(entry)
         return result.revision
 
     async def _call_watch(self, upstream: Upstream, after: int, wait: float) -> WatchResult:
@@ -359,18 +343,16 @@
             self._watch_timeout = None
 
     async def _on_success(self, upstream: Upstream) -> None:
-        now = self._now()
+        now, settled_at = self._now(), self._entries.settled_at
         self._follows_mirror = upstream.is_mirror
         if upstream.is_mirror:
             # Only the mirror knows whether its deletions result from an outage.
             settling = SETTLE_S if upstream.behind_ms else upstream.settling_ms / 1000
-            self._settled_at = max(self._settled_at, now + settling) if settling else 0.0
+            settled_at = max(settled_at, now + settling) if settling else 0.0
         elif self._selector.store_unavailable:
-            self._settled_at = now + SETTLE_S
-        if self._settled_at:
-            vms_settled_at = self._settled_at + VM_SETTLE_S - SETTLE_S
-            self._vms_settled_at = max(self._vms_settled_at, vms_settled_at)
-        self._mirror.set_settled_at(self._settled_at)
+            settled_at = now + SETTLE_S
+        self._entries.set_settled_at(settled_at)
+        self._mirror.set_settled_at(settled_at)
         self._mirror.set_in_sync(not upstream.behind_ms and not upstream.is_fallback)
         if upstream.is_mirror:
             self._listener.on_peer_isolation(upstream.cut_off, upstream.store)
@@ -378,72 +360,15 @@
             self._listener.on_store_reachability(True, "")
         await self._selector.record_success(upstream)
 
-    def _observe_era(self, revision: int) -> None:
-        """Begin to settle if the store has returned from a copy."""
-        era, known_era = era_of(revision), self._era
-        self._era = max(era, known_era)
-        if not 0 < known_era < era:
-            return
-        now = self._now()
-        self._settled_at = max(self._settled_at, now + SETTLE_S)
-        self._vms_settled_at = max(self._vms_settled_at, now + VM_SETTLE_S)
-        self._mirror.set_settled_at(self._settled_at)
-
     def _apply(self, entry: StoredValue) -> None:
-        known = self._applied.get(entry.key)
-        known_revision = 0 if known is None else known.revision
-        if entry.value is None:
-            if known is None:
-                self._deferred.pop(entry.key, None)
-            elif entry.revision >= known_revision:
-                self._on_deleted(known, entry)
-            return
-        self._deferred.pop(entry.key, None)
-        if entry.revision < known_revision:
+        known_revision = self._entries.known_revision(entry.key)
+        if entry.value is not None and entry.revision < known_revision:
             self._listener.on_older_entry(entry, known_revision, from_mirror=self._follows_mirror)
-        if entry.revision <= known_revision:
-            return
-        if entry in self._superseded and self._now() < self._settles_at(entry.key):
-            self._deferred[entry.key] = entry
-            return
-        self._accept(known, entry)
-
-    def _accept(self, known: StoredValue | None, entry: StoredValue) -> None:
-        self._applied[entry.key] = entry
-        if known is None:
-            self._notify(entry)
-        elif not self._is_same_change(known, entry):
-            self._superseded.add(known)
+        if self._entries.apply(self._now(), entry):
             self._notify(entry)
 
-    def _is_same_change(self, known: StoredValue, entry: StoredValue) -> bool:
-        """Return whether an entry has a new revision, as after a change of the era, and no more."""
-        if known.value != entry.value:
-            return False
-        return self._reader.decode(known) == self._reader.decode(entry)
-
-    def _on_deleted(self, known: StoredValue, entry: StoredValue) -> None:
-        if self._now() < self._settles_at(entry.key):
-            self._deferred[entry.key] = entry
-            return
-        del self._applied[entry.key]
-        self._superseded.add(known)
-        self._notify(entry)
-
-    def _settles_at(self, key: str) -> float:
-        return self._vms_settled_at if self._reader.is_vm_key(key) else self._settled_at
-
-    def _apply_settled(self) -> None:
-        if not self._deferred:
-            return
-        now = self._now()
-        settled = [key for key in self._deferred if now >= self._settles_at(key)]
-        for key in settled:
-            entry, known = self._deferred.pop(key), self._applied.get(key)
-            if entry.value is not None:
-                self._accept(known, entry)
-            elif known is not None:
-                self._on_deleted(known, entry)
+    def _is_same_change(self, one: StoredValue, other: StoredValue) -> bool:
+        return self._reader.decode(one) == self._reader.decode(other)
 
     def _notify(self, entry: StoredValue) -> None:
         change = self._reader.decode(entry)
--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -9,6 +9,7 @@
 import pytest
 from forward_site import NoStore
 
+from berylspindle_forwarding import applied_entries
 from berylspindle_forwarding import catalogue as catalogue_module
 from berylspindle_forwarding.catalogue import (
     Catalogue,
@@ -119,6 +120,7 @@
 async def open_catalogue(
     monkeypatch: pytest.MonkeyPatch,
 ) -> AsyncIterator[tuple[RestoredStore, Recorder]]:
+    monkeypatch.setattr(applied_entries, "SETTLE_S", SETTLE_S)
     monkeypatch.setattr(catalogue_module, "SETTLE_S", SETTLE_S)
     monkeypatch.setattr(catalogue_module, "BATCH_INTERVAL_S", 0.01)
     loop = asyncio.get_running_loop()
