Renew a lease by the VM's present role, not by that of its announcement

Cause: a VM that is announced again after a restart does not know its own entry yet, counts as no watcher and sleeps 10 s until its first renewal. Half a second later it is the watcher that follows the store. An outage in between swallowed its pending watch; without a renewal no call failed, and the data centre's other VMs followed a mirror that counted as in sync.

The new test: 0 renewals on the code before, at least 5 required.

Why it works: the wait is measured against the interval of the present role, looked at each 1.5 s at the latest.

--- a/libs/forwarding/berylspindle_forwarding/vm_announcer.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_announcer.py
@@ -109,9 +109,7 @@
             try:
                 await self._step()
                 pause = RETRY_MIN_S
-                await asyncio.sleep(
-                    WATCHER_RENEW_INTERVAL_S if self._is_watcher() else RENEW_INTERVAL_S
-                )
+                await self._wait_until_renewal()
             except StoreLeaseNotFound:
                 self._discard_lease()
             except StoreError as error:
@@ -143,6 +141,17 @@
                 return
             delay = NEED_CHECK_INTERVAL_S
 
+    async def _wait_until_renewal(self) -> None:
+        """Wait for a renewal interval; it becomes shorter when this VM becomes a watcher."""
+        loop = asyncio.get_running_loop()
+        renewed_at = loop.time()
+        while True:
+            interval = WATCHER_RENEW_INTERVAL_S if self._is_watcher() else RENEW_INTERVAL_S
+            remaining = renewed_at + interval - loop.time()
+            if remaining <= 0:
+                return
+            await asyncio.sleep(min(remaining, WATCHER_RENEW_INTERVAL_S))
+
     async def _step(self) -> None:
         if self._lease is not None:
             await self._renew(self._lease)
--- a/tests/forwarding/test_vm_announcer.py
+++ b/tests/forwarding/test_vm_announcer.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import attrs
@@ -59,7 +59,11 @@
 
 @asynccontextmanager
 async def announcing(
-    store: LeaseStore, *, followers: FollowerCount | None = None, is_needed: bool = True
+    store: LeaseStore,
+    *,
+    followers: FollowerCount | None = None,
+    is_needed: bool = True,
+    is_watcher: Callable[[], bool] = lambda: False,
 ) -> AsyncIterator[None]:
     listed = asyncio.Event()
     listed.set()
@@ -72,7 +76,7 @@
         stored_entry=lambda: store.entry,
         listed=listed,
         on_failure=lambda detail: None,
-        is_watcher=lambda: False,
+        is_watcher=is_watcher,
         uniform=lambda: 0.0,
     )
     task = asyncio.create_task(announcer.run())
@@ -157,3 +161,17 @@
             assert store.entry.lease == "lease-1"
     assert store.calls["grant"] == 1
     assert store.calls["write"] == 3
+
+
+async def test_vm_that_becomes_a_watcher_after_its_announcement_renews_at_a_watchers_interval(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a data centre with an old table: its watcher does not notice an outage."""
+    monkeypatch.setattr(vm_announcer, "WATCHER_RENEW_INTERVAL_S", 0.05)
+    store, watchers = LeaseStore(), set[str]()
+    async with announcing(store, is_watcher=lambda: bool(watchers)):
+        while not store.calls["write"]:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        watchers.add(KEY)
+        await asyncio.sleep(0.5)
+    assert store.calls["renew"] >= 5
