Settle after the first return from a copy also if eras start at 0

Callers would see: requests to a replica that is known to be draining or gone, after the store's first return from a copy, if its first era is 0 and no call of this VM failed meanwhile.

Cause: era 0 stood for an era that is not known yet.

Evidence: the test of a copy's stale replicas with a first era of 0 failed on the code before; the first list now sets the era, and only a later one is a return.

--- a/libs/forwarding/berylspindle_forwarding/applied_entries.py
+++ b/libs/forwarding/berylspindle_forwarding/applied_entries.py
@@ -56,7 +56,7 @@
         self._applied: Final[dict[str, StoredValue]] = {}
         self._deferred: Final[dict[str, StoredValue]] = {}
         self._superseded: Final[OrderedDict[tuple[str, int], bytes | None]] = OrderedDict()
-        self._era = 0
+        self._era: int | None = None
         self._settled_at = 0.0
         self._vms_settled_at = 0.0
 
@@ -87,10 +87,10 @@
 
     def observe_era(self, now: float, revision: int) -> None:
         """Defer entries from now on if the store has returned from a copy."""
-        era, known_era = era_of(revision), self._era
-        self._era = max(era, known_era)
-        if 0 < known_era < era:
+        era = era_of(revision)
+        if self._era is not None and era > self._era:
             self.set_settled_at(max(self._settled_at, now + SETTLE_S))
+        self._era = era if self._era is None else max(era, self._era)
 
     def apply(self, now: float, entry: StoredValue) -> bool:
         """Return whether an entry takes effect now; one that is older than the applied does not."""
--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -61,8 +61,8 @@
 class RestoredStore(NoStore):
     """A store of some entries that may return from a copy."""
 
-    def __init__(self) -> None:
-        self.era = self.number = 1
+    def __init__(self, first_era: int) -> None:
+        self.era, self.number = first_era, 1
         self.entries: dict[str, StoredValue] = {}
         self.changes: list[StoredValue] = []
         self._changed = asyncio.Event()
@@ -118,13 +118,13 @@
 
 @asynccontextmanager
 async def open_catalogue(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, first_era: int = 1
 ) -> AsyncIterator[tuple[RestoredStore, Recorder]]:
     monkeypatch.setattr(applied_entries, "SETTLE_S", SETTLE_S)
     monkeypatch.setattr(catalogue_module, "SETTLE_S", SETTLE_S)
     monkeypatch.setattr(catalogue_module, "BATCH_INTERVAL_S", 0.01)
     loop = asyncio.get_running_loop()
-    store, recorder = RestoredStore(), Recorder()
+    store, recorder = RestoredStore(first_era), Recorder()
     selector = UpstreamSelector(store, mirrors=tuple, now=loop.time, rng=None)  # type: ignore[arg-type]
     catalogue = Catalogue(
         selector,
@@ -157,11 +157,12 @@
             await asyncio.sleep(0.01)
 
 
+@pytest.mark.parametrize("first_era", [0, 1])
 async def test_replica_known_to_be_leaving_or_gone_is_not_used_as_the_copy_has_it(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, first_era: int
 ) -> None:
     """Guard against requests to a leaving replica that the store's copy still has as ready."""
-    async with open_catalogue(monkeypatch) as (store, recorder):
+    async with open_catalogue(monkeypatch, first_era) as (store, recorder):
         store.put("leaving", "ready")
         store.put("gone", "ready")
         await wait_for(recorder, leaving="ready", gone="ready")
