--- a/tests/platform_adapter/test_platform_store.py
+++ b/tests/platform_adapter/test_platform_store.py
@@ -194,3 +194,10 @@
         listed = await store.list_cached("")
         assert [entry.value for entry in listed.entries] == [b'{"version": 9}']
         assert listed.revision == make_revision(kv.era, kv.rev)
+
+
+async def test_empty_cached_list_is_of_the_current_era():
+    """Guard against a second list by each VM that starts with an empty store."""
+    async with open_store() as (kv, store):
+        listed = await store.list_cached("")
+        assert (listed.entries, listed.revision) == ((), make_revision(kv.era, 0))
