--- a/tests/store/test_revisions.py
+++ b/tests/store/test_revisions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from berylspindle_store.revisions import NUMBER_BITS, era_of, make_revision, number_of
@@ -12,6 +12,7 @@
 NUMBERS = st.integers(0, 2**NUMBER_BITS - 1)
 
 
+@settings(derandomize=True, deadline=None, database=None)
 @given(ERAS, NUMBERS, ERAS, NUMBERS)
 def test_revisions_are_ordered_by_era_then_number(
     era: int, number: int, other_era: int, other_number: int
