Remember each value of a replaced entry, not only the last of its number

Callers would see: after a second return from a copy, a replica as it was before a known change, if two eras gave the same number to two of its entries.

Cause: replaced entries were remembered by key and number, and the later era's value took the place of the earlier one's.

Why it works: the value is a part of what is remembered.

--- a/libs/forwarding/berylspindle_forwarding/applied_entries.py
+++ b/libs/forwarding/berylspindle_forwarding/applied_entries.py
@@ -38,6 +38,10 @@
 changes."""
 
 
+_Identity = tuple[str, int, bytes | None]
+"""Key, number and value of an entry, which it keeps in a copy of the store."""
+
+
 class AppliedEntries:
     """The applied and deferred entries of one VM.
 
@@ -55,7 +59,7 @@
         self._is_same_change: Final = is_same_change
         self._applied: Final[dict[str, StoredValue]] = {}
         self._deferred: Final[dict[str, StoredValue]] = {}
-        self._superseded: Final[OrderedDict[tuple[str, int], bytes | None]] = OrderedDict()
+        self._superseded: Final[OrderedDict[_Identity, None]] = OrderedDict()
         self._era: int | None = None
         self._settled_at = 0.0
         self._vms_settled_at = 0.0
@@ -99,7 +103,7 @@
         self._deferred.pop(entry.key, None)
         if entry.revision <= self.known_revision(entry.key):
             return False
-        if self._is_superseded(entry) and now < self._settles_at(entry.key):
+        if _identity(entry) in self._superseded and now < self._settles_at(entry.key):
             self._deferred[entry.key] = entry
             return False
         return self._put(entry)
@@ -139,13 +143,13 @@
         return True
 
     def _supersede(self, entry: StoredValue) -> None:
-        self._superseded[entry.key, number_of(entry.revision)] = entry.value
+        self._superseded[_identity(entry)] = None
         if len(self._superseded) > MAX_SUPERSEDED:
             self._superseded.popitem(last=False)
 
-    def _is_superseded(self, entry: StoredValue) -> bool:
-        identity = (entry.key, number_of(entry.revision))
-        return identity in self._superseded and self._superseded[identity] == entry.value
-
     def _settles_at(self, key: str) -> float:
         return self._vms_settled_at if self._is_vm_key(key) else self._settled_at
+
+
+def _identity(entry: StoredValue) -> _Identity:
+    return entry.key, number_of(entry.revision), entry.value
