--- a/libs/forwarding/berylspindle_forwarding/applied_entries.py
+++ b/libs/forwarding/berylspindle_forwarding/applied_entries.py
@@ -14,8 +14,8 @@
 Guards: leases of live replicas expire while the store is unavailable, and their entries are
 deleted. If these deletions were applied, a service would be left without a replica just when the
 store is back. A copy holds entries as they were before a known change, such as a replica as ready
-that is known to be draining or gone. They have the key, number and value of a superseded entry,
-which an entry that is written after the return has not, and are deferred like deletions.
+that is known to be draining or gone. They have the key, number and value of a superseded entry and
+are deferred like deletions; an entry that is written after the return matches none of those.
 """
 
 from __future__ import annotations
@@ -37,7 +37,6 @@
 """Superseded entries that are kept; a copy is some seconds old, and a second has tens of
 changes."""
 
-
 _Identity = tuple[str, int, bytes | None]
 """Key, number and value of an entry, which it keeps in a copy of the store."""
 
