Count the wait for a renewal in steps instead of by the clock

The wait kept a start time and compared clocks; the sum of its own steps says the same with less state.

--- a/libs/forwarding/berylspindle_forwarding/vm_announcer.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_announcer.py
@@ -143,14 +143,11 @@
 
     async def _wait_until_renewal(self) -> None:
         """Wait for a renewal interval; it becomes shorter when this VM becomes a watcher."""
-        loop = asyncio.get_running_loop()
-        renewed_at = loop.time()
-        while True:
-            interval = WATCHER_RENEW_INTERVAL_S if self._is_watcher() else RENEW_INTERVAL_S
-            remaining = renewed_at + interval - loop.time()
-            if remaining <= 0:
-                return
-            await asyncio.sleep(min(remaining, WATCHER_RENEW_INTERVAL_S))
+        waited = 0.0
+        while waited < (WATCHER_RENEW_INTERVAL_S if self._is_watcher() else RENEW_INTERVAL_S):
+            step = min(WATCHER_RENEW_INTERVAL_S, RENEW_INTERVAL_S - waited)
+            await asyncio.sleep(step)
+            waited += step
 
     async def _step(self) -> None:
         if self._lease is not None:
