Derive from the upstream whether an older entry came by a mirror

The catalogue kept a flag beside the upstream that each call has at hand, and set the mirror's settling time in two places. The flag is gone, and the era is observed where the settling time is set.

--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -250,7 +250,6 @@
             is_same_change=self._is_same_change,
         )
         self._watch_timeout: asyncio.Timeout | None = None
-        self._follows_mirror = False
 
     def abort_store_watch(self) -> None:
         """Abort a pending watch of the store and retry."""
@@ -304,14 +303,12 @@
             revision = listed.revision if revision is None else min(revision, listed.revision)
             found.update((entry.key, entry) for entry in listed.entries)
         assert revision is not None
-        await self._on_success(upstream)
-        self._entries.observe_era(self._now(), revision)
-        self._mirror.set_settled_at(self._entries.settled_at)
+        await self._on_success(upstream, revision)
         self._mirror.replace_entries(found.values(), revision)
         for entry in found.values():
-            self._apply(entry)
+            self._apply(entry, upstream)
         for key in self._entries.missing_keys(found):
-            self._apply(StoredValue(key=key, value=None, revision=revision))
+            self._apply(StoredValue(key=key, value=None, revision=revision), upstream)
         self._listener.on_listed()
         return revision
 
@@ -320,13 +317,13 @@
         if (settled_at := self._entries.next_settled_at) is not None:
             wait = min(wait, max(0.05, settled_at - self._now()))
         result = await self._call_watch(upstream, after, wait)
-        await self._on_success(upstream)
+        await self._on_success(upstream, result.revision)
         if result.compacted:
             # List the upstream that reported it: another one may be a lagging mirror.
             return await self._list(upstream)
         self._mirror.apply_changes(result.entries, result.revision)
         for entry in result.entries:
-            self._apply(entry)
+            self._apply(entry, upstream)
         for entry in self._entries.take_settled(self._now()):
             self._notify(entry)
         return result.revision
@@ -342,9 +339,8 @@
         finally:
             self._watch_timeout = None
 
-    async def _on_success(self, upstream: Upstream) -> None:
+    async def _on_success(self, upstream: Upstream, revision: int) -> None:
         now, settled_at = self._now(), self._entries.settled_at
-        self._follows_mirror = upstream.is_mirror
         if upstream.is_mirror:
             # Only the mirror knows whether its deletions result from an outage.
             settling = SETTLE_S if upstream.behind_ms else upstream.settling_ms / 1000
@@ -352,7 +348,8 @@
         elif self._selector.store_unavailable:
             settled_at = now + SETTLE_S
         self._entries.set_settled_at(settled_at)
-        self._mirror.set_settled_at(settled_at)
+        self._entries.observe_era(now, revision)
+        self._mirror.set_settled_at(self._entries.settled_at)
         self._mirror.set_in_sync(not upstream.behind_ms and not upstream.is_fallback)
         if upstream.is_mirror:
             self._listener.on_peer_isolation(upstream.cut_off, upstream.store)
@@ -360,10 +357,10 @@
             self._listener.on_store_reachability(True, "")
         await self._selector.record_success(upstream)
 
-    def _apply(self, entry: StoredValue) -> None:
+    def _apply(self, entry: StoredValue, upstream: Upstream) -> None:
         known_revision = self._entries.known_revision(entry.key)
         if entry.value is not None and entry.revision < known_revision:
-            self._listener.on_older_entry(entry, known_revision, from_mirror=self._follows_mirror)
+            self._listener.on_older_entry(entry, known_revision, from_mirror=upstream.is_mirror)
         if self._entries.apply(self._now(), entry):
             self._notify(entry)
 
