Remember replaced entries by the hash of their value

The hash is made only while entries are deferred or when one is replaced, not for each entry of a list.

--- a/libs/forwarding/berylspindle_forwarding/applied_entries.py
+++ b/libs/forwarding/berylspindle_forwarding/applied_entries.py
@@ -24,6 +24,8 @@
 from collections.abc import Callable, Collection
 from typing import Final
 
+import xxhash
+
 from berylspindle_store.revisions import era_of, number_of
 from berylspindle_store.store import StoredValue
 
@@ -37,8 +39,8 @@
 """Superseded entries that are kept; a copy is some seconds old, and a second has tens of
 changes."""
 
-_Identity = tuple[str, int, bytes | None]
-"""Key, number and value of an entry, which it keeps in a copy of the store."""
+_Identity = tuple[str, int, int]
+"""Key, number and hash of the value of an entry, which it keeps in a copy of the store."""
 
 
 class AppliedEntries:
@@ -102,7 +104,7 @@
         self._deferred.pop(entry.key, None)
         if entry.revision <= self.known_revision(entry.key):
             return False
-        if _identity(entry) in self._superseded and now < self._settles_at(entry.key):
+        if now < self._settles_at(entry.key) and _identity(entry) in self._superseded:
             self._deferred[entry.key] = entry
             return False
         return self._put(entry)
@@ -151,4 +153,4 @@
 
 
 def _identity(entry: StoredValue) -> _Identity:
-    return entry.key, number_of(entry.revision), entry.value
+    return entry.key, number_of(entry.revision), xxhash.xxh3_64_intdigest(entry.value or b"")
