Remove the count of requests to leaving replicas, which can't occur any more

Since waiting requests are returned as soon as a replica leaves, no attempt can be sent to one: the slot, the flag of removed replicas, three calls and the metric were dead.

--- a/libs/forwarding/berylspindle_forwarding/attempt.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt.py
@@ -31,8 +31,7 @@
 
     `index` is the position of its service in the request. `expected_slowdown` is the expected
     latency over that of a replica without a queue. `waited_for_connection` is set if no connection
-    was free when the attempt was submitted, and `sent_to_leaving` if the replica was announced as
-    draining or gone during this wait.
+    was free when the attempt was submitted.
     """
 
     __slots__ = (
@@ -42,7 +41,6 @@
         "handle",
         "index",
         "record",
-        "sent_to_leaving",
         "waited_for_connection",
     )
 
@@ -55,13 +53,11 @@
         self.record = record
         self.expected_slowdown = 1.0
         self.waited_for_connection = False
-        self.sent_to_leaving = False
         self.connection: ExchangeConnection | None = None
 
     def on_connection_assigned(self, connection: ExchangeConnection) -> None:
         """Store the connection that carries the request."""
         self.connection = connection
-        self.sent_to_leaving = self.handle.is_leaving
 
     def on_reply(self, reply: ExchangeReply) -> None:
         """Pass a complete reply to the owner."""
--- a/libs/forwarding/berylspindle_forwarding/attempt_policy.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_policy.py
@@ -224,7 +224,6 @@
     ) -> None:
         """Update replica health, latencies and rollout statistics from a complete reply."""
         health = attempt.handle.health
-        self._count_leaving(attempt)
         self._context.reach.on_contact(now, attempt.handle.replica.data_centre)
         self._context.metrics.count(names.FORWARD_REPLIES, kind=verdict.value)
         if verdict in (ReplyClass.ANSWER, ReplyClass.FINAL):
@@ -251,7 +250,6 @@
     def record_end(self, now: float, attempt: Attempt, end: ExchangeFailure) -> None:
         """Update replica health and loss reports from an attempt without a reply."""
         self._context.metrics.count(names.FORWARD_REPLIES, kind=end.kind.value)
-        self._count_leaving(attempt)
         if end.kind is ExchangeFailureKind.NOT_SENT:
             attempt.handle.health.on_not_sent(attempt)
         else:
@@ -274,7 +272,6 @@
 
     def record_abandoned(self, now: float, attempt: Attempt, elapsed_ms: float) -> None:
         """Update replica health and rollout statistics from an abandoned attempt."""
-        self._count_leaving(attempt)
         replica, ms = attempt.handle.replica, elapsed_ms / attempt.expected_slowdown
         is_cold = now < attempt.handle.health.cold_until
         sent_at = now - elapsed_ms / 1000
@@ -284,14 +281,6 @@
             now, attempt, latency_ratio=self._ratio(attempt, elapsed_ms)
         )
 
-    def _count_leaving(self, attempt: Attempt) -> None:
-        if not attempt.sent_to_leaving:
-            return
-        self._context.metrics.count(names.SENT_TO_LEAVING)
-        self._context.log_replica_change(
-            "request sent to a replica that is leaving", replica=attempt.handle.replica.id
-        )
-
     def _record_version(self, now: float, attempt: Attempt, elapsed_ms: float | None) -> None:
         """Count a reply for the version of its replica; `elapsed_ms` is None for a failure.
 
--- a/libs/forwarding/berylspindle_forwarding/replica_registry.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_registry.py
@@ -70,15 +70,9 @@
         self.health: Final = health
         self.pool: Final = pool
         self.is_misplaced = False
-        self.is_removed = False
         self.failures = 0
         self._cold_requests: deque[float] = deque()
 
-    @property
-    def is_leaving(self) -> bool:
-        """Return whether the replica was announced as draining or gone."""
-        return self.is_removed or self.replica.draining
-
     def record_cold_request(self, now: float) -> None:
         """Record a request to a cold replica."""
         self._cold_requests.append(now)
@@ -164,9 +158,8 @@
         handle = self._handles.pop(replica_id, None)
         if handle is None:
             return
-        handle.is_removed = True
         self._invalidate_caches()
-        self._return_waiting(handle)
+        handle.pool.fail_waiting("the replica is gone")
         self._retired.retire(handle.pool)
 
     def set_excluded_data_centres(self, data_centres: frozenset[str]) -> None:
@@ -239,7 +232,7 @@
     def _is_eligible(self, handle: ReplicaHandle) -> bool:
         """Return whether a replica may get requests, whatever its version."""
         return not (
-            handle.is_leaving
+            handle.replica.draining
             or handle.is_misplaced
             or handle.replica.data_centre in self._excluded_data_centres
         )
--- a/libs/telemetry/berylspindle_telemetry/metric_names.py
+++ b/libs/telemetry/berylspindle_telemetry/metric_names.py
@@ -207,9 +207,6 @@
 OLDER_ENTRIES: Final = _counter(
     "older_entries", "Entries ignored because a newer revision was known.", "upstream"
 )
-SENT_TO_LEAVING: Final = _counter(
-    "sent_to_leaving", "Attempts sent to a replica after it was announced as draining or gone."
-)
 ROUTING_VERSION: Final = _gauge("routing_version", "Version of the active routing table.")
 ANNOUNCE_FAILED: Final = _counter(
     "announce_failed", "Failed calls to the store for this VM's own entry."
