Share the steps of the tests of a store that returns from a copy

Two tests repeated the lost part, five the configuration without the merged route, and the fake store rebuilt its entries by hand. All assertions stay. Both files: passed.

--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import attrs
 import pytest
 from forward_site import NoStore
 
@@ -58,6 +59,10 @@
     def on_store_reachability(self, reached, detail) -> None: ...
 
 
+Copy = tuple[int, dict[str, StoredValue]]
+"""Revision number and entries of a store."""
+
+
 class RestoredStore(NoStore):
     """A store of some entries that may return from a copy."""
 
@@ -77,18 +82,16 @@
         self.changes.append(entry)
         self._notify()
 
-    def copy(self) -> tuple[int, dict[str, tuple[int, bytes | None]]]:
-        numbers = {key: (entry.revision, entry.value) for key, entry in self.entries.items()}
-        return self.number, numbers
+    def copy(self) -> Copy:
+        return self.number, dict(self.entries)
 
-    def restore(self, copy: tuple[int, dict[str, tuple[int, bytes | None]]]) -> None:
-        era_step = make_revision(1, 0)
+    def restore(self, copy: Copy) -> None:
         self.era += 1
         self.number, entries = copy
         self.changes.clear()
         self.entries = {
-            key: StoredValue(key=key, value=value, revision=revision + era_step)
-            for key, (revision, value) in entries.items()
+            key: attrs.evolve(entry, revision=make_revision(self.era, number_of(entry.revision)))
+            for key, entry in entries.items()
         }
         self._notify()
 
@@ -149,7 +152,7 @@
             await asyncio.sleep(0.01)
 
 
-async def restore(store: RestoredStore, recorder: Recorder, copy) -> None:
+async def restore(store: RestoredStore, recorder: Recorder, copy: Copy) -> None:
     lists = recorder.lists
     store.restore(copy)
     async with asyncio.timeout(2.0):
--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -13,7 +13,7 @@
 
 import attrs
 from free_ports import free_ports
-from kv_standin import KvStandin, open_kv
+from kv_standin import Copy, KvStandin, open_kv
 
 from berylspindle_adapter.wire_names import DIALECT
 from berylspindle_decisions.record_merge import top_records
@@ -110,6 +110,21 @@
         }
         self.kv.put(f"servers/{replica.id}", announcement | fields)
 
+    def announce_all(self) -> None:
+        for replica in self.replicas.values():
+            self.announce(replica)
+
+    def drop_merged_route(self) -> None:
+        """Write version 2 of the configuration, without the merged route."""
+        self.kv.put("op/config", configuration(2, routes=configuration(2)["routes"][1:]))
+
+    async def lose_changes(self, copy: Copy) -> None:
+        """Let the VM that follows the store receive changes, which the store then loses."""
+        for _ in range(3):
+            self.announce_all()
+        await asyncio.wait_for(self.kv.until_watched(), WATCH_TIMEOUT_S)
+        self.kv.restore(copy)
+
 
 async def start_vm(
     stack: AsyncExitStack, kv: KvStandin, folder: Path, name: str, seeds: tuple[int, ...] = ()
@@ -194,7 +209,7 @@
         leaving = platform.replicas["i-booking-0"]
         platform.announce(leaving, state="draining")
         platform.kv.put("servers/i-broken", b"\xff\x00")
-        platform.kv.put("op/config", configuration(2, routes=configuration(2)["routes"][1:]))
+        platform.drop_merged_route()
         async with asyncio.timeout(5):
             while (await platform.request("/lots/2")).status != 404:  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
@@ -246,7 +261,7 @@
         await platform.until_ready()
         assert (await platform.request("/lots/1")).status == 200
         platform.kv.outage = ""
-        platform.kv.put("op/config", configuration(2, routes=configuration(2)["routes"][1:]))
+        platform.drop_merged_route()
         async with asyncio.timeout(8):
             while (await platform.request("/lots/2")).status != 404:  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
@@ -269,7 +284,7 @@
         platform.client, platform.ready = client, ready
         await platform.until_ready()
         assert (await platform.request("/lots/1")).status == 200
-        platform.kv.put("op/config", configuration(2, routes=configuration(2)["routes"][1:]))
+        platform.drop_merged_route()
         async with asyncio.timeout(5):
             while (await platform.request("/lots/2")).status != 404:  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
@@ -283,13 +298,8 @@
     async with open_platform(tmp_path) as platform:
         await platform.until_ready()
         copy = platform.kv.copy()
-        for _ in range(3):
-            for replica in platform.replicas.values():
-                platform.announce(replica)
-        await asyncio.wait_for(platform.kv.until_watched(), WATCH_TIMEOUT_S)
-        platform.kv.restore(copy)
-        for replica in platform.replicas.values():
-            platform.announce(replica)
+        await platform.lose_changes(copy)
+        platform.announce_all()
         await asyncio.wait_for(platform.kv.until_watched(), WATCH_TIMEOUT_S)
         for number in range(2):
             platform.replicas[f"i-booking-{number}"].behaviour.service_time_s = 0.05
@@ -322,13 +332,9 @@
         )
         first, platform.ready = platform.client, ready
         await platform.until_ready()
-        for _ in range(3):
-            for replica in platform.replicas.values():
-                platform.announce(replica)
+        await platform.lose_changes(copy)
         await asyncio.wait_for(platform.kv.until_watched(), WATCH_TIMEOUT_S)
-        platform.kv.restore(copy)
-        await asyncio.wait_for(platform.kv.until_watched(), WATCH_TIMEOUT_S)
-        platform.kv.put("op/config", configuration(2, routes=configuration(2)["routes"][1:]))
+        platform.drop_merged_route()
         await until_route_is_dropped(platform, first, follower)
 
 
@@ -343,9 +349,8 @@
         await asyncio.wait_for(platform.kv.until_watched(), WATCH_TIMEOUT_S)
         platform.kv.outage = "reset"
         platform.kv.restore(copy)
-        platform.kv.put("op/config", configuration(2, routes=configuration(2)["routes"][1:]))
-        for replica in platform.replicas.values():
-            platform.announce(replica)
+        platform.drop_merged_route()
+        platform.announce_all()
         platform.kv.outage = ""
         await until_route_is_dropped(platform, platform.client)
 
