--- a/tests/platform_adapter/test_explain.py
+++ b/tests/platform_adapter/test_explain.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 import attrs
-from test_whole_path import HOST, Platform, configuration, open_platform
+from platform_site import HOST, Platform, configuration, open_platform
 
 from berylspindle_cli.log_lines import Explanation, LogLine, explain_request, read_lines
 from berylspindle_decisions.log_rate_limiter import RATES
--- a/tests/platform_adapter/test_rollout.py
+++ b/tests/platform_adapter/test_rollout.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 import pytest
-from test_whole_path import DIALECT, Platform, open_platform, start_replica, start_vm
+from platform_site import DIALECT, Platform, open_platform, start_replica, start_vm
 
 SERVICE = "s1"
 TERM_S = 6
