--- a/tests/platform_adapter/test_platform_store.py
+++ b/tests/platform_adapter/test_platform_store.py
@@ -201,3 +201,18 @@
     async with open_store() as (kv, store):
         listed = await store.list_cached("")
         assert (listed.entries, listed.revision) == ((), make_revision(kv.era, 0))
+
+
+@pytest.mark.parametrize("number", [-1, 2**40])
+async def test_revision_out_of_range_fails_the_call_only(number: int):
+    """Guard against a daemon that ends because of one malformed response of the store."""
+    async with open_store() as (kv, store):
+        kv.put("servers/a", b"")
+        kv.items["servers/a"].rev = number
+        with pytest.raises(StoreUnavailable):
+            await store.list("servers/")
+        with pytest.raises(StoreUnavailable):
+            await store.get("servers/a")
+        kv.rev = number
+        with pytest.raises(StoreUnavailable):
+            await store.list("nothing/")
