Record links between VMs that were lost, with the reason

An execute whose link ended was answered "the link broke", whether the owner had closed it, could not be reached or had been silent.

The daemon exports them as berylspindle_links_lost_total and records link_silent with the VM in the timeline. Exceptions of reply callbacks and malformed frames on links, which were dropped, are recorded as well.

--- a/libs/daemon/berylspindle_daemon/daemon.py
+++ b/libs/daemon/berylspindle_daemon/daemon.py
@@ -109,6 +109,10 @@
         )
         self._received_bytes: Final = metrics.counter(names.CONTROL_BYTES, direction="received")
         self._unsigned: Final = metrics.counter(names.CONTROL_REJECTED, reason="unsigned")
+        self._links_lost: Final = {
+            reason: metrics.counter(names.LINKS_LOST, reason=reason)
+            for reason in ("not_opened", "broken", "silent")
+        }
 
     async def start(self) -> None:
         """Open all parts; raises OSError if an address can't be bound."""
@@ -119,7 +123,11 @@
         platform, vm_list = await self._open_platform()
         store = InstrumentedStore(platform, self.metrics, self._observer.on_store_call)
         self._links = PeerLinks(
-            self.me.id, key=key, connect_timeout=self._options.connect_timeout / 2
+            self.me.id,
+            key=key,
+            connect_timeout=self._options.connect_timeout / 2,
+            on_fault=self._on_fault,
+            on_silent=self._on_link_silent,
         )
         self._stack.push_async_callback(self._links.close)
         self._datagrams = await open_datagrams(
@@ -310,9 +318,16 @@
             self._configured.set()
 
     def _update_counters(self) -> None:
-        """Copy the number of rejected messages from the ports into the metrics."""
+        """Copy the counts of rejected messages and lost links into the metrics."""
         rejected = self._datagrams.counters.refused + self._peers.unauthorised
         self._unsigned.value = rejected
+        links = self._links.counters
+        self._links_lost["not_opened"].value = links.open_failed
+        self._links_lost["broken"].value = links.broken
+        self._links_lost["silent"].value = links.silent
+
+    def _on_link_silent(self, vm: Vm) -> None:
+        self.timeline.record(EventKind.LINK_SILENT, detail=f"vm={vm.id}")
 
     def _on_fault(self, error: BaseException) -> None:
         self.timeline.record(EventKind.INTERNAL_FAULT, detail=repr(error))
--- a/libs/model/berylspindle_model/events.py
+++ b/libs/model/berylspindle_model/events.py
@@ -51,6 +51,7 @@
     SHEDDING_STARTED = "shedding_started"
     SHEDDING_STOPPED = "shedding_stopped"
     CONNECTION_REPLACED = "connection_replaced"
+    LINK_SILENT = "link_silent"
     SNAPSHOT_CHANGED = "snapshot_changed"
     STORE_AWAY = "store_away"
     STORE_BACK = "store_back"
--- a/libs/telemetry/berylspindle_telemetry/metric_names.py
+++ b/libs/telemetry/berylspindle_telemetry/metric_names.py
@@ -148,6 +148,9 @@
 CONTROL_REJECTED: Final = _counter(
     "control_rejected", "control messages rejected: unsigned or malformed", "reason"
 )
+LINKS_LOST: Final = _counter(
+    "links_lost", "links to other VMs that were not opened, broke or were silent", "reason"
+)
 CLOCK_REJECTED: Final = _gauge(
     "clock_rejected", "stamps of peers rejected as too far ahead of this VM's clock"
 )
--- a/libs/wire/berylspindle_wire/entry_link.py
+++ b/libs/wire/berylspindle_wire/entry_link.py
@@ -52,6 +52,7 @@
     silence_timeout: float
     max_queued: int
     on_fault: Callable[[BaseException], None]
+    on_silent: Callable[[Vm], None]
 
 
 @attrs.define
@@ -150,6 +151,7 @@
             return
         if now - self._last_received > self._settings.silence_timeout:
             self._counters.silent += 1
+            self._settings.on_silent(self._vm)
             self._channel.close()
             return
         if now - self._last_received > self._settings.silence_timeout / _PINGS_PER_SILENCE_TIMEOUT:
--- a/libs/wire/berylspindle_wire/peer_link.py
+++ b/libs/wire/berylspindle_wire/peer_link.py
@@ -38,7 +38,8 @@
 
     Times are in seconds. `silence_timeout` limits the time without any frame from the owner while
     attempts are outstanding. `max_queued` limits the attempts not yet written on one link.
-    `on_fault` is called with exceptions of reply callbacks and with malformed frames.
+    `on_fault` is called with exceptions of reply callbacks and with malformed frames. `on_silent`
+    is called with the owner of each link that is closed because it was silent for too long.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         silence_timeout: float = 1.0,
         max_queued: int = 4096,
         on_fault: Callable[[BaseException], None] | None = None,
+        on_silent: Callable[[Vm], None] | None = None,
     ) -> None:
         self.counters: Final = LinkCounters()
         self._settings: Final = LinkSettings(
@@ -59,6 +61,7 @@
             silence_timeout=silence_timeout,
             max_queued=max_queued,
             on_fault=on_fault or (lambda _: None),
+            on_silent=on_silent or (lambda _: None),
         )
         self._links: dict[str, EntryLink] = {}
         self._calls = PeerCalls(key, connect_timeout)
