Count the silence of a link in ticks instead of by the clock

Callers saw: an execute is answered outcome_unknown ("the link broke") while it runs at its backend server; its key is settled as unknown for good, so the result never reaches them.

Cause: an entry compared the time of the last frame with the clock on each tick. After a pause of its own process of over a second, or of half a second if it began just before a ping was due, the first tick closed the link, before the frames that waited in the socket were read and often before any ping had been sent.

A tick counts as one interval however late it is, so that a pause adds at most one; the frames that have arrived are read before the next tick.

--- a/libs/wire/berylspindle_wire/entry_link.py
+++ b/libs/wire/berylspindle_wire/entry_link.py
@@ -35,7 +35,7 @@
 MAX_BACKOFF_S: Final = 2.0
 
 _PINGS_PER_SILENCE_TIMEOUT: Final = 4
-"""Divisor of the silence timeout; a link is pinged after the resulting time without a frame."""
+"""Divisor of the maximum of silent ticks; a link is pinged after the resulting number of ticks."""
 
 OnReply = Callable[[AttemptReply], None]
 _LinkStream = Stream[PeerFrame, PeerFrame]
@@ -44,12 +44,15 @@
 
 @attrs.frozen(kw_only=True)
 class LinkSettings:
-    """Settings shared by all links of one VM; see `PeerLinks`."""
+    """Settings shared by all links of one VM; see `PeerLinks`.
+
+    `max_silent_ticks` limits the calls of `EntryLink.tick` in a row without a frame from the owner.
+    """
 
     entry_id: str
     key: bytes | None
     connect_timeout: float
-    silence_timeout: float
+    max_silent_ticks: int
     max_queued: int
     on_fault: Callable[[BaseException], None]
     on_silent: Callable[[Vm], None]
@@ -104,7 +107,7 @@
         self._channel: Channel | None = None
         self._failures = 0
         self._next_open = 0.0
-        self._last_received = 0.0
+        self._silent_ticks = 0
         self._last_submitted = self._loop.time()
         self._work_available = asyncio.Event()
         self._task = self._loop.create_task(self._run())
@@ -123,7 +126,7 @@
         if any(attempt.id in self._outstanding for attempt in batch.attempts):
             raise ValueError("attempt id is already outstanding")
         if not self._outstanding:
-            self._last_received = self._loop.time()
+            self._silent_ticks = 0
         self._last_submitted = self._loop.time()
         for attempt in batch.attempts:
             self._outstanding[attempt.id] = _Outstanding(attempt, on_reply)
@@ -145,16 +148,22 @@
                 self._cancelled.append(attempt)
                 self._work_available.set()
 
-    def tick(self, now: float) -> None:
-        """Ping while attempts are outstanding; close the link if it is silent for too long."""
+    def tick(self) -> None:
+        """Ping while attempts are outstanding; close the link if it is silent for too long.
+
+        Silence is counted in ticks. Measured by the clock, a pause of this process would count as
+        silence of the owner, although its frames wait unread in the socket.
+        """
         if not self._outstanding or self._channel is None:
             return
-        if now - self._last_received > self._settings.silence_timeout:
+        self._silent_ticks += 1
+        limit = self._settings.max_silent_ticks
+        if self._silent_ticks > limit:
             self._counters.silent += 1
             self._settings.on_silent(self._vm)
             self._channel.close()
             return
-        if now - self._last_received > self._settings.silence_timeout / _PINGS_PER_SILENCE_TIMEOUT:
+        if self._silent_ticks > limit / _PINGS_PER_SILENCE_TIMEOUT:
             self._ping_due = True
             self._work_available.set()
 
@@ -211,7 +220,7 @@
             return None
         self._counters.opened += 1
         self._failures = 0
-        self._last_received = self._loop.time()
+        self._silent_ticks = 0
         self._channel = channel
         stack.callback(self._clear_channel)
         return stream
@@ -240,7 +249,7 @@
             await asyncio.gather(writer, return_exceptions=True)
 
     def _handle_frame(self, frame: PeerFrame) -> None:
-        self._last_received = self._loop.time()
+        self._silent_ticks = 0
         self._counters.frames_received += 1
         for reply in frame.replies:
             pending = self._outstanding.get(reply.attempt)
--- a/libs/wire/berylspindle_wire/peer_link.py
+++ b/libs/wire/berylspindle_wire/peer_link.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Sequence
 from typing import Final
 
@@ -37,9 +38,10 @@
     """Links from this VM to all owners that it uses; requires a running event loop when created.
 
     Times are in seconds. `silence_timeout` limits the time without any frame from the owner while
-    attempts are outstanding. `max_queued` limits the attempts not yet written on one link.
-    `on_fault` is called with exceptions of reply callbacks and with malformed frames. `on_silent`
-    is called with the owner of each link that is closed because it was silent for too long.
+    attempts are outstanding and this process runs. `max_queued` limits the attempts not yet written
+    on one link. `on_fault` is called with exceptions of reply callbacks and with malformed frames.
+    `on_silent` is called with the owner of each link that is closed because it was silent for too
+    long.
     """
 
     def __init__(
@@ -53,12 +55,13 @@
         on_fault: Callable[[BaseException], None] | None = None,
         on_silent: Callable[[Vm], None] | None = None,
     ) -> None:
+        tick_interval = min(_TICK_INTERVAL_S, silence_timeout / 4)
         self.counters: Final = LinkCounters()
         self._settings: Final = LinkSettings(
             entry_id=entry_id,
             key=key,
             connect_timeout=connect_timeout,
-            silence_timeout=silence_timeout,
+            max_silent_ticks=math.ceil(silence_timeout / tick_interval),
             max_queued=max_queued,
             on_fault=on_fault or (lambda _: None),
             on_silent=on_silent or (lambda _: None),
@@ -67,9 +70,7 @@
         self._calls = PeerCalls(key, connect_timeout)
         self._closed = False
         self._loop = asyncio.get_running_loop()
-        self._ticker = self._loop.create_task(
-            self._tick(min(_TICK_INTERVAL_S, silence_timeout / 4))
-        )
+        self._ticker = self._loop.create_task(self._tick(tick_interval))
 
     @property
     def outstanding(self) -> int:
@@ -127,7 +128,7 @@
             await asyncio.sleep(interval)
             now = self._loop.time()
             for vm_id, link in tuple(self._links.items()):
-                link.tick(now)
+                link.tick()
                 if link.is_unused(now, _UNUSED_LINK_TIMEOUT_S):
                     del self._links[vm_id]
                     await link.close()
--- a/tests/wire/test_peer_links.py
+++ b/tests/wire/test_peer_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import attrs
 import pytest
@@ -11,6 +12,7 @@
 from berylspindle_model.messages import AttemptReply
 
 LOST = (ErrorKind.PEER_LOST, RunState.MAY_HAVE_RUN)
+SILENCE_S = 0.2
 NOT_SENT = (ErrorKind.PEER_LOST, RunState.NOT_RUN)
 
 
@@ -204,6 +206,20 @@
         assert peers.links.counters.silent == 0
 
 
+async def test_a_pause_of_the_entry_is_not_silence_of_the_owner(until, pair):
+    """Guard against lost outcomes of executes after a pause of the entry's own process."""
+    async with pair(silence_timeout=SILENCE_S) as peers:
+        peers.submit("a:slow")
+        await until(lambda: peers.links.counters.frames_received >= 1)
+        time.sleep(3 * SILENCE_S)  # noqa: ASYNC251
+        frames = peers.links.counters.frames_received
+        await until(lambda: peers.links.counters.frames_received >= frames + 2 or peers.replies.all)
+        peers.owner.release.set()
+        await until(lambda: len(peers.replies.all) == 1)
+        assert peers.replies.outcomes == {"a": (None, None)}
+        assert peers.links.counters.silent == 0
+
+
 async def test_drain_loses_no_batch(until, pair):
     """Guard against a VM that shuts down without answering a batch that it has received.
 
