--- a/libs/dataplane/berylspindle_dataplane/executor.py
+++ b/libs/dataplane/berylspindle_dataplane/executor.py
@@ -6,9 +6,9 @@
             not count
   outcome   result of the dispatch, stored with the claim and returned to later requests for the key
 
-Flow: `execute` admits, claims and dispatches. After a reply that is certainly NOT_RUN, the same
-claim is dispatched to another replica; any other reply is the outcome and is stored, also if it
-leaves open whether the request ran. The dispatch is a task of its own: a caller that disconnects
+Flow: `execute` admits, claims and dispatches (see `execute_dispatch`). A reply that is certainly
+NOT_RUN releases the claim; any other reply is the outcome and is stored, also if it leaves open
+whether the request ran. The dispatch is a task of its own: a caller that disconnects
 does not cancel it and can query the outcome by its key. Without a claim nothing is dispatched, and
 the refusal is NOT_RUN.
 """
@@ -24,20 +24,14 @@
 
 from berylspindle_dataplane.entry import Entry
 from berylspindle_dataplane.entry_context import EntryContext
-from berylspindle_dataplane.router import Router, Target
+from berylspindle_dataplane.execute_dispatch import ExecuteDispatcher
+from berylspindle_dataplane.router import Router
 from berylspindle_dataplane.service_state import ServiceState
 from berylspindle_decisions.quarantine import RunMode
-from berylspindle_decisions.replica_choice import choose
 from berylspindle_model import codec
 from berylspindle_model.errors import ErrorKind, Refusal, RunState
 from berylspindle_model.events import EventKind
-from berylspindle_model.messages import (
-    Attempt,
-    AttemptBatch,
-    AttemptReply,
-    ExecuteAnswer,
-    ExecuteRequest,
-)
+from berylspindle_model.messages import AttemptReply, ExecuteAnswer, ExecuteRequest
 from berylspindle_store.claim_records import (
     AlreadyClaimed,
     Claim,
@@ -54,9 +48,6 @@
 
 T = TypeVar("T")
 
-# Maximum backend servers that may refuse a claimed request without running it before the refusal is
-# returned to the caller.
-MAX_DISPATCH_TARGETS: Final = 3
 # Minimum time left for a claim. Writing a claim takes milliseconds; a request with less time would
 # be claimed and then abandoned, at the cost of two writes to the store.
 MIN_EXECUTE_MS: Final = 20.0
@@ -75,6 +66,7 @@
         is_live: Callable[[str], bool],
     ) -> None:
         self._router: Final = router
+        self._dispatcher: Final = ExecuteDispatcher(router, context)
         self._entry: Final = entry
         self._claims: Final = claims
         self._context: Final = context
@@ -175,7 +167,7 @@
     ) -> ExecuteAnswer | Refusal:
         content = codec.to_sorted_json([request.service, request.shard, request.payload])
         fingerprint = xxhash.xxh3_128_hexdigest(content)
-        if self._choose_target(state, request.shard, frozenset()) is None:
+        if not self._dispatcher.has_target(state, request.shard):
             return Refusal(ErrorKind.NO_REPLICA)
         attempt_id = self._context.new_id()
         left = deadline - self._context.now() - MIN_EXECUTE_MS / 1000
@@ -206,7 +198,7 @@
     ) -> ExecuteAnswer | Refusal:
         refusal = self._quarantine_refusal(fingerprint)
         if refusal is None:
-            reply = await self._dispatch(request, state, claim, fingerprint, deadline)
+            reply = await self._dispatcher.dispatch(request, state, claim, fingerprint, deadline)
             self._context.quarantine.on_inconclusive(fingerprint)
             if reply.run is not RunState.NOT_RUN:
                 return await self._store_outcome(request, claim, reply, deadline)
@@ -220,105 +212,6 @@
         mode = self._context.quarantine.decide(self._context.now(), fingerprint)
         return mode if not isinstance(mode, RunMode) else None
 
-    async def _dispatch(
-        self,
-        request: ExecuteRequest,
-        state: ServiceState,
-        claim: Claim,
-        fingerprint: str,
-        deadline: float,
-    ) -> AttemptReply:
-        """Return the first reply that is not a certain NOT_RUN, or else the last NOT_RUN."""
-        tried: set[str] = set()
-        reply = _not_run("", request.shard, ErrorKind.NO_REPLICA)
-        attempt_id = claim.record.attempt
-        for _ in range(MAX_DISPATCH_TARGETS):
-            now = self._context.now()
-            if now >= min(claim.dispatch_before, deadline):
-                # The VM may have been paused; the claim may have lapsed and the key may have been
-                # claimed again.
-                return _not_run("", request.shard, ErrorKind.DEADLINE_EXCEEDED)
-            target = self._choose_target(state, request.shard, frozenset(tried))
-            if target is None:
-                return reply
-            tried.add(target.server.id)
-            reply = await self._send(request, target, attempt_id, fingerprint, deadline)
-            state.record_reply(self._context.now(), target, reply)
-            self._context.quarantine.record_reply(self._context.now(), fingerprint, reply)
-            if reply.run is not RunState.NOT_RUN:
-                return reply
-            attempt_id = self._context.new_id()
-        return reply
-
-    async def _send(
-        self,
-        request: ExecuteRequest,
-        target: Target,
-        attempt_id: str,
-        fingerprint: str,
-        deadline: float,
-    ) -> AttemptReply:
-        left_ms = (deadline - self._context.now()) * 1000
-        batch = self._make_batch(request, target, attempt_id, fingerprint, left_ms)
-        waiter: asyncio.Future[AttemptReply] = asyncio.get_running_loop().create_future()
-
-        def on_reply(reply: AttemptReply) -> None:
-            if not waiter.done():
-                waiter.set_result(reply)
-
-        self._router.submit(target.owner, batch, on_reply)
-        try:
-            async with asyncio.timeout(max(0.0, left_ms / 1000)):
-                reply = await waiter
-        except TimeoutError:
-            reply = _not_run(target.server.id, request.shard, ErrorKind.DEADLINE_EXCEEDED)
-            return attrs.evolve(reply, run=RunState.MAY_HAVE_RUN)
-        if reply.error is None:
-            return attrs.evolve(reply, run=RunState.RAN)
-        return attrs.evolve(reply, run=reply.run or RunState.MAY_HAVE_RUN)
-
-    def _make_batch(
-        self,
-        request: ExecuteRequest,
-        target: Target,
-        attempt_id: str,
-        fingerprint: str,
-        left_ms: float,
-    ) -> AttemptBatch:
-        attempt = Attempt(
-            id=attempt_id,
-            request_id=request.request_id,
-            server=target.server.id,
-            service=request.service,
-            shard=request.shard,
-            execute_key=request.key,
-            payload=request.payload,
-        )
-        return AttemptBatch(
-            entry=self._router.me.id,
-            caller=request.caller,
-            deadline_ms=max(1, int(self._context.deadlines.for_owner(left_ms) or 1.0)),
-            revision=0,
-            attempts=(attempt,),
-            fingerprint=fingerprint,
-            # An execute is sent to one server at a time in any case.
-            is_canary=True,
-        )
-
-    def _choose_target(
-        self, state: ServiceState, shard: str, tried: frozenset[str]
-    ) -> Target | None:
-        now = self._context.now()
-        local = self._router.me.data_centre
-        targets = {
-            target.server.id: target
-            for target in self._router.targets(state.service.name, shard)
-            if target.server.id not in tried
-        }
-        views = [state.view(t, local=local, now=now, pin=None) for t in targets.values()]
-        order = choose(views, now=now, uniform=self._context.random())
-        return targets[order[0].server] if order else None
-
     async def _within_deadline(
         self, deadline: float, call: Coroutine[object, object, T]
     ) -> T | None:
@@ -388,7 +281,3 @@
 
 
 _NOT_RUN: Final = RunState.NOT_RUN
-
-
-def _not_run(server: str, shard: str, kind: ErrorKind) -> AttemptReply:
-    return AttemptReply(attempt="", server=server, shard=shard, error=kind, run=_NOT_RUN)
