Send an execute again if its owner could not take it

Callers saw: one or several of four executes with ten seconds left refused within a second, peer_lost, not run, "no link to the owner", while one VM left and the machine was busy.

Cause: links to owners are opened on the first use and may take 0.5 s. The dispatch of an execute tried each backend server once. With the replicas of the other data centre draining, one slow opening used up the only target, and the refusal went to the caller.

A refusal by the owner says nothing about the backend server, which has not seen the request. Each attempt still begins only after the previous one has certainly not run.

--- a/libs/dataplane/berylspindle_dataplane/execute_dispatch.py
+++ b/libs/dataplane/berylspindle_dataplane/execute_dispatch.py
@@ -1,11 +1,13 @@
 """Dispatch of a claimed request to one backend server at a time.
 
 Terms:
-  target   a backend server of the request's shard, with the VM that owns it
-  refused  the attempt has certainly not run, so that the request may be sent again
+  target      a backend server of the request's shard, with the VM that owns it
+  refused     the backend server has not run the attempt and does not accept another one
+  unreached   the owner of the backend server has refused the attempt, not the server itself
 
 Flow: `dispatch` sends the request to the best target. After a reply that is certainly NOT_RUN it
-tries another target; any other reply is the result of the one permitted dispatch.
+tries another target; any other reply is the result of the one permitted dispatch. Once no target is
+left, servers that were unreached are tried again after a delay (see `reroute`).
 """
 
 from __future__ import annotations
@@ -19,6 +21,7 @@
 from berylspindle_dataplane.router import Router, Target
 from berylspindle_dataplane.service_state import ServiceState
 from berylspindle_decisions.replica_choice import choose
+from berylspindle_decisions.reroute import is_owner_refusal, reroute_delay
 from berylspindle_model.errors import ErrorKind, RunState
 from berylspindle_model.messages import Attempt, AttemptBatch, AttemptReply, ExecuteRequest
 from berylspindle_store.claim_records import Claim
@@ -28,6 +31,30 @@
 MAX_DISPATCH_TARGETS: Final = 3
 
 
+@attrs.define
+class _ServersTried:
+    """Backend servers that have not run a request; `rounds` counts the rounds after the first."""
+
+    refused: frozenset[str] = frozenset()
+    unreached: frozenset[str] = frozenset()
+    in_round: frozenset[str] = frozenset()
+    rounds: int = 0
+
+    def record_refusal(self, server: str, kind: ErrorKind | None) -> None:
+        """Record that an attempt at a server was refused without execution."""
+        self.in_round |= {server}
+        if is_owner_refusal(kind):
+            self.unreached |= {server}
+        else:
+            self.unreached -= {server}
+            self.refused |= {server}
+
+    def begin_round(self) -> None:
+        """Allow another attempt at each server that has not refused one itself."""
+        self.in_round = self.refused
+        self.rounds += 1
+
+
 class ExecuteDispatcher:
     """Send claimed requests to backend servers."""
 
@@ -51,24 +78,31 @@
 
         `deadline` is in seconds of the context's clock.
         """
-        tried: set[str] = set()
+        servers = _ServersTried()
         reply = _not_run("", request.shard, ErrorKind.NO_REPLICA)
         attempt_id = claim.record.attempt
-        for _ in range(MAX_DISPATCH_TARGETS):
+        started = self._context.now()
+        latest = min(claim.dispatch_before, deadline)
+        while len(servers.refused) < MAX_DISPATCH_TARGETS:
             now = self._context.now()
-            if now >= min(claim.dispatch_before, deadline):
+            if now >= latest:
                 # The VM may have been paused; the claim may have lapsed and the key may have been
                 # claimed again.
                 return _not_run("", request.shard, ErrorKind.DEADLINE_EXCEEDED)
-            target = self._choose_target(state, request.shard, frozenset(tried))
+            target = self._choose_target(state, request.shard, servers.in_round)
             if target is None:
-                return reply
-            tried.add(target.server.id)
+                delay = reroute_delay(servers.rounds, now=now, started=started, deadline=latest)
+                if not servers.unreached or delay is None:
+                    return reply
+                await asyncio.sleep(delay)
+                servers.begin_round()
+                continue
             reply = await self._send(request, target, attempt_id, fingerprint, deadline)
             state.record_reply(self._context.now(), target, reply)
             self._context.quarantine.record_reply(self._context.now(), fingerprint, reply)
             if reply.run is not RunState.NOT_RUN:
                 return reply
+            servers.record_refusal(target.server.id, reply.error)
             attempt_id = self._context.new_id()
         return reply
 
--- a/tests/dataplane/entry_harness.py
+++ b/tests/dataplane/entry_harness.py
@@ -15,6 +15,7 @@
 from berylspindle_decisions.admission import AdmissionOptions
 from berylspindle_decisions.deadlines import Deadlines
 from berylspindle_model.configuration import Configuration, DataCentre, Server, Service
+from berylspindle_model.errors import ErrorKind, RunState
 from berylspindle_model.messages import (
     Attempt,
     AttemptBatch,
@@ -66,6 +67,11 @@
     def cancel(self, *attempts: object) -> None:
         self.cancelled.extend(str(each) for each in attempts)
 
+    def refuse(self, kind: ErrorKind, run: RunState = RunState.NOT_RUN) -> None:
+        """Refuse the latest attempt in place of its owner."""
+        _, attempt, on_reply = self.sent[-1]
+        on_reply(AttemptReply(attempt=attempt.id, server="s", shard="0", error=kind, run=run))
+
     def answer(self) -> None:
         _, attempt, on_reply = self.sent[-1]
         on_reply(AttemptReply(attempt=attempt.id, server="s", shard="0", snapshot=Snapshot(1, 1)))
