Keep executes on a silent link until their deadlines

Callers saw: outcome_unknown for executes that their backend servers complete, after the VM that owns the servers had paused for more than a second.

Cause: a silent link was closed and all its attempts failed. For searches that is right, they are retried elsewhere. For an execute the stream is the only way back of the outcome: the owner lets the execute run to its end, has nobody to send the result to, and the entry stores "unknown" under its key for good.

The connection of an owner to its backend server waits for an execute until its deadline already.

A silent link is replaced: searches on it fail and are cancelled at once, new work opens another link, and the executes stay on the old one until they are answered, the stream breaks or their deadlines pass. An owner that is gone thus leaves the outcome open until the caller's deadline instead of a second.

--- a/libs/wire/berylspindle_wire/entry_link.py
+++ b/libs/wire/berylspindle_wire/entry_link.py
@@ -2,12 +2,17 @@
 
 Terms:
   written   passed to the stream; from then on only the owner can tell that an attempt has not run
+  silent    nothing was received for too long although attempts are outstanding
 
 Flow: the link's task waits for work, opens a stream and reads replies, while a writer task sends
 everything queued since its last frame as one frame. When the stream ends, each outstanding attempt
 gets a failure reply: NOT_RUN if it was never written, else MAY_HAVE_RUN. A reply that matches no
 outstanding attempt by id, backend server and shard is dropped and counted: it is late or misrouted,
 and delivering it would give one caller the results of another.
+
+A silent owner may be dead, cut off or paused. `abandon` fails the searches of its link, which can
+be retried elsewhere. Executes stay outstanding until their deadlines: only this stream can carry
+their outcome, and an outcome that is reported as unknown stays unknown.
 """
 
 from __future__ import annotations
@@ -28,6 +33,7 @@
 from berylspindle_model.errors import ErrorKind, RunState
 from berylspindle_model.messages import Attempt, AttemptBatch, AttemptReply
 from berylspindle_model.topology import Vm
+from berylspindle_wire.link_settings import LinkCounters, LinkSettings
 from berylspindle_wire.peer_auth import sign_call
 from berylspindle_wire.peer_codec import FRAME_ITEMS, LINK_PATH, PeerCodec, PeerFrame
 
@@ -42,44 +48,11 @@
 _STREAM_ERRORS: Final = (OSError, TimeoutError, GRPCError, StreamTerminatedError, ProtocolError)
 
 
-@attrs.frozen(kw_only=True)
-class LinkSettings:
-    """Settings shared by all links of one VM; see `PeerLinks`.
-
-    `max_silent_ticks` limits the calls of `EntryLink.tick` in a row without a frame from the owner.
-    """
-
-    entry_id: str
-    key: bytes | None
-    connect_timeout: float
-    max_silent_ticks: int
-    max_queued: int
-    on_fault: Callable[[BaseException], None]
-    on_silent: Callable[[Vm], None]
-
-
-@attrs.define
-class LinkCounters:
-    """Cumulative counts over all links of one VM.
-
-    `dropped_replies` counts late or misrouted replies.
-    """
-
-    opened: int = 0
-    open_failed: int = 0
-    broken: int = 0
-    silent: int = 0
-    overloaded: int = 0
-    frames_sent: int = 0
-    frames_received: int = 0
-    replies: int = 0
-    dropped_replies: int = 0
-
-
 @attrs.define
 class _Outstanding:
     attempt: Attempt
     on_reply: OnReply
+    deadline: float
     written: bool = False
 
 
@@ -117,6 +90,11 @@
         """Return the number of attempts waiting for a reply."""
         return len(self._outstanding)
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether nothing was received for too long although attempts are outstanding."""
+        return self._silent_ticks > self._settings.max_silent_ticks
+
     def is_unused(self, now: float, timeout: float) -> bool:
         """Return whether nothing is outstanding and nothing was submitted for `timeout` seconds."""
         return not self._outstanding and now - self._last_submitted > timeout
@@ -128,8 +106,9 @@
         if not self._outstanding:
             self._silent_ticks = 0
         self._last_submitted = self._loop.time()
+        deadline = self._last_submitted + batch.deadline_ms / 1000
         for attempt in batch.attempts:
-            self._outstanding[attempt.id] = _Outstanding(attempt, on_reply)
+            self._outstanding[attempt.id] = _Outstanding(attempt, on_reply, deadline)
         if self._closing:
             self._schedule_refusal(batch, ErrorKind.SHUTTING_DOWN, "the owner is shutting down")
         elif self._queued_attempts + len(batch.attempts) > self._settings.max_queued:
@@ -149,7 +128,7 @@
                 self._work_available.set()
 
     def tick(self) -> None:
-        """Ping while attempts are outstanding; close the link if it is silent for too long.
+        """Ping while attempts are outstanding, and count the silence of the owner.
 
         Silence is counted in ticks. Measured by the clock, a pause of this process would count as
         silence of the owner, although its frames wait unread in the socket.
@@ -157,16 +136,33 @@
         if not self._outstanding or self._channel is None:
             return
         self._silent_ticks += 1
-        limit = self._settings.max_silent_ticks
-        if self._silent_ticks > limit:
-            self._counters.silent += 1
-            self._settings.on_silent(self._vm)
-            self._channel.close()
-            return
-        if self._silent_ticks > limit / _PINGS_PER_SILENCE_TIMEOUT:
+        ping_after = self._settings.max_silent_ticks / _PINGS_PER_SILENCE_TIMEOUT
+        if self._silent_ticks > ping_after and not self.is_silent:
             self._ping_due = True
             self._work_available.set()
 
+    def abandon(self) -> None:
+        """Fail all outstanding attempts but the executes that were written.
+
+        Call this once, when the link is silent; nothing may be submitted afterwards.
+        """
+        self._counters.silent += 1
+        self._settings.on_silent(self._vm)
+        self._drain_queue()
+        for pending in tuple(self._outstanding.values()):
+            if pending.written and pending.attempt.execute_key is not None:
+                continue
+            if pending.written:
+                self._cancelled.append(pending.attempt.id)
+                self._work_available.set()
+            self._fail(pending, "the owner is silent")
+
+    def expire(self, now: float) -> None:
+        """Fail outstanding attempts whose deadline has passed."""
+        for pending in tuple(self._outstanding.values()):
+            if now >= pending.deadline:
+                self._fail(pending, "the owner is silent")
+
     async def close(self) -> None:
         """Close the link and fail all outstanding attempts."""
         self._task.cancel()
@@ -336,11 +332,14 @@
         self._drain_queue()
         self._cancelled.clear()
         for pending in tuple(self._outstanding.values()):
-            run = RunState.MAY_HAVE_RUN if pending.written else RunState.NOT_RUN
-            # Not CONNECTION_LOST, which refers to a backend server: the loss of a VM says nothing
-            # about what its servers ran.
-            reply = failed_reply(pending.attempt, ErrorKind.PEER_LOST, run, detail)
-            self._complete(pending.attempt.id, reply)
+            self._fail(pending, detail)
+
+    def _fail(self, pending: _Outstanding, detail: str) -> None:
+        run = RunState.MAY_HAVE_RUN if pending.written else RunState.NOT_RUN
+        # Not CONNECTION_LOST, which refers to a backend server: the loss of a VM says nothing
+        # about what its servers ran.
+        reply = failed_reply(pending.attempt, ErrorKind.PEER_LOST, run, detail)
+        self._complete(pending.attempt.id, reply)
 
     def _schedule_refusal(self, batch: AttemptBatch, kind: ErrorKind, detail: str) -> None:
         self._loop.call_soon(self._refuse, batch, kind, detail)
--- a/libs/wire/berylspindle_wire/peer_link.py
+++ b/libs/wire/berylspindle_wire/peer_link.py
@@ -8,7 +8,8 @@
 Flow: `submit` passes a batch to the link of its VM and returns at once. The link's task opens the
 stream, writes, reads and delivers one reply for each attempt; if the owner can't answer, the link
 generates the reply. One ticker task checks the links with outstanding attempts, sends pings and
-closes silent links; a timer for each attempt or link would cost more than the frames do.
+replaces silent links; a timer for each attempt or link would cost more than the frames do. A silent
+link is kept beside its replacement until its executes are answered or their deadlines pass.
 """
 
 from __future__ import annotations
@@ -21,13 +22,8 @@
 from berylspindle_model.errors import ErrorKind, RunState
 from berylspindle_model.messages import AttemptBatch
 from berylspindle_model.topology import Vm
-from berylspindle_wire.entry_link import (
-    EntryLink,
-    LinkCounters,
-    LinkSettings,
-    OnReply,
-    failed_reply,
-)
+from berylspindle_wire.entry_link import EntryLink, OnReply, failed_reply
+from berylspindle_wire.link_settings import LinkCounters, LinkSettings
 from berylspindle_wire.peer_calls import PeerCalls
 
 _TICK_INTERVAL_S: Final = 0.25
@@ -40,8 +36,7 @@
     Times are in seconds. `silence_timeout` limits the time without any frame from the owner while
     attempts are outstanding and this process runs. `max_queued` limits the attempts not yet written
     on one link. `on_fault` is called with exceptions of reply callbacks and with malformed frames.
-    `on_silent` is called with the owner of each link that is closed because it was silent for too
-    long.
+    `on_silent` is called with the owner of each link that was silent for too long.
     """
 
     def __init__(
@@ -67,6 +62,8 @@
             on_silent=on_silent or (lambda _: None),
         )
         self._links: dict[str, EntryLink] = {}
+        # Abandoned links with executes that may still be answered.
+        self._silent_links: set[EntryLink] = set()
         self._calls = PeerCalls(key, connect_timeout)
         self._closed = False
         self._loop = asyncio.get_running_loop()
@@ -75,7 +72,12 @@
     @property
     def outstanding(self) -> int:
         """Return the number of attempts waiting for a reply."""
-        return sum(link.outstanding for link in self._links.values())
+        return sum(link.outstanding for link in (*self._links.values(), *self._silent_links))
+
+    @property
+    def open_links(self) -> int:
+        """Return the number of links, including silent ones that wait for executes."""
+        return len(self._links) + len(self._silent_links)
 
     def submit(self, vm: Vm, batch: AttemptBatch, on_reply: OnReply) -> None:
         """Send a batch to its owner and return at once.
@@ -97,8 +99,8 @@
     def cancel(self, vm: Vm, attempts: Sequence[str]) -> None:
         """Cancel attempts: their replies are dropped, and the owner is asked to stop their work."""
         link = self._links.get(vm.id)
-        if link is not None:
-            link.cancel(attempts)
+        for each in (*self._silent_links, *([link] if link is not None else [])):
+            each.cancel(attempts)
 
     async def call(self, vm: Vm, method: str, payload: bytes, *, timeout: float) -> bytes:
         """Make a control call; `timeout` is in seconds.
@@ -113,8 +115,10 @@
         self._closed = True
         self._ticker.cancel()
         await asyncio.gather(self._ticker, return_exceptions=True)
-        await asyncio.gather(*(link.close() for link in self._links.values()))
+        links = (*self._links.values(), *self._silent_links)
+        await asyncio.gather(*(link.close() for link in links))
         self._links.clear()
+        self._silent_links.clear()
         self._calls.close()
 
     def _link(self, vm: Vm) -> EntryLink:
@@ -127,9 +131,22 @@
         while True:
             await asyncio.sleep(interval)
             now = self._loop.time()
+            await self._tick_silent_links(now)
             for vm_id, link in tuple(self._links.items()):
                 link.tick()
-                if link.is_unused(now, _UNUSED_LINK_TIMEOUT_S):
+                if link.is_silent:
+                    del self._links[vm_id]
+                    self._silent_links.add(link)
+                    link.abandon()
+                elif link.is_unused(now, _UNUSED_LINK_TIMEOUT_S):
                     del self._links[vm_id]
                     await link.close()
             self._calls.close_unused(now, _UNUSED_LINK_TIMEOUT_S)
+
+    async def _tick_silent_links(self, now: float) -> None:
+        for link in tuple(self._silent_links):
+            link.tick()
+            link.expire(now)
+            if not link.outstanding:
+                self._silent_links.discard(link)
+                await link.close()
--- a/tests/wire/conftest.py
+++ b/tests/wire/conftest.py
@@ -112,6 +112,12 @@
     def submit(self, *attempts: str, **options) -> None:
         self.links.submit(self.vm, batch_of(*attempts, **options), self.replies.take)
 
+    def submit_execute(self, attempt: str, **options) -> None:
+        """Submit an execute for the server "slow"."""
+        batch = batch_of(f"{attempt}:slow", **options)
+        execute = attrs.evolve(batch.attempts[0], execute_key=attempt, payload={})
+        self.links.submit(self.vm, attrs.evolve(batch, attempts=(execute,)), self.replies.take)
+
 
 async def _add_one(payload: bytes) -> bytes:
     return payload + b"1"
@@ -149,11 +155,15 @@
 
 @attrs.define
 class Relay:
-    """Forward bytes between an entry and an owner; drop all of them while `silent`."""
+    """Forward bytes between an entry and an owner.
+
+    All bytes are dropped while `silent`, and delayed while `held`.
+    """
 
     port: int = 0
     target: int = 0
     silent: bool = False
+    held: bool = False
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -165,6 +175,8 @@
     async def _pass_on(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
         try:
             while data := await source.read(65536):
+                while self.held:  # noqa: ASYNC110
+                    await asyncio.sleep(0.001)
                 if not self.silent:
                     sink.write(data)
         except ConnectionError:
--- a/tests/wire/test_peer_links.py
+++ b/tests/wire/test_peer_links.py
@@ -206,6 +206,40 @@
         assert peers.links.counters.silent == 0
 
 
+async def test_an_execute_survives_a_pause_of_its_owner(until, relayed_pair):
+    """Guard against losing the outcome of a running execute when its owner pauses for a moment.
+
+    Searches on the silent link fail at once, so that they can be retried elsewhere; new work uses a
+    new link.
+    """
+    async with relayed_pair() as (relay, peers):
+        peers.submit_execute("hold")
+        peers.submit("a:slow")
+        await until(lambda: peers.links.counters.frames_received >= 1)
+        relay.held = True
+        await until(lambda: len(peers.replies.all) == 1)
+        assert peers.replies.outcomes == {"a": LOST}
+        relay.held = False
+        peers.submit("b")
+        await until(lambda: len(peers.replies.all) == 2)
+        await until(lambda: peers.owner.cancelled == ["a"])
+        peers.owner.release.set()
+        await until(lambda: len(peers.replies.all) == 3)
+        assert peers.replies.outcomes == {"a": LOST, "b": (None, None), "hold": (None, None)}
+        assert peers.links.counters.silent == 1
+
+
+async def test_an_execute_on_a_dead_path_is_answered_at_its_deadline(until, relayed_pair):
+    """Guard against executes and links that are kept forever for an owner that is gone."""
+    async with relayed_pair() as (relay, peers):
+        peers.submit_execute("hold", deadline_ms=800)
+        await until(lambda: peers.owner.seen == ["hold"])
+        relay.silent = True
+        await until(lambda: len(peers.replies.all) == 1)
+        assert peers.replies.outcomes == {"hold": LOST}
+        await until(lambda: peers.links.open_links == 0)
+
+
 async def test_a_pause_of_the_entry_is_not_silence_of_the_owner(until, pair):
     """Guard against lost outcomes of executes after a pause of the entry's own process."""
     async with pair(silence_timeout=SILENCE_S) as peers:
