List the announced VMs in the store before announcing another one

Callers see nothing of it directly. The store of the platform gets a lease, a write and renewals for VMs that need no entry, most of all when the power of a data centre returns, and every VM's mirror gets their changes.

Cause: a VM checks at a random time whether enough bigger VMs are announced, and looks into its mirror. A VM that follows the store pauses after each change to collect a batch, for 1.5 s while it has no requests. All VMs that check in such a pause find the same need; in the test the delays are drawn from 2.5 to 7.5 s, in production from 1 to 3 s, so that the pause covers most of them.

Before a VM without an entry is announced it lists the entries in the store. The list costs one call and saves a lease, a write and a renewal each ten seconds where it finds enough. If the store does not answer, the VM is announced as before; an entry of its previous process is replaced as before.

With the list left out, the new test fails.

--- a/libs/forwarding/berylspindle_forwarding/vm_announcer.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_announcer.py
@@ -10,7 +10,8 @@
 
 A VM with enough bigger VMs to follow is not announced: those count it as a follower and publish the
 count in their entries. If they disappear, the remaining VMs are announced after a random delay
-each, until there are enough again.
+each, until there are enough again. Before its announcement a VM lists the entries in the store: its
+mirror lags by up to a batch interval, in which all VMs that start together would be announced.
 
 Guards: the entry of a previous process is replaced under its revision, and so never mistaken for
 another VM's. An entry that is missing, or bound to a lease other than the one renewed, is written
@@ -22,7 +23,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
 import attrs
@@ -66,7 +67,9 @@
 class VmAnnouncer:
     """Keep this VM's entry in the store.
 
-    `stored_entry` returns the entry as this VM's mirror holds it, and `listed` is set once all
+    An entry is needed while fewer than `required` other VMs of the data centre that are at least as
+    big have one; `known_vms` returns the entries that this VM's mirror holds of other VMs.
+    `stored_entry` returns the entry of this VM as its mirror holds it, and `listed` is set once all
     entries are listed; `on_failure` receives the error of each failed call.
     """
 
@@ -77,7 +80,8 @@
         key: str,
         entry: VmEntry,
         followers: FollowerCount,
-        is_needed: Callable[[], bool],
+        known_vms: Callable[[], Iterable[VmEntry]],
+        required: int,
         stored_entry: Callable[[], StoredValue | None],
         listed: asyncio.Event,
         on_failure: Callable[[str], None],
@@ -87,7 +91,8 @@
         self._is_watcher: Final = is_watcher
         self._entry: Final = entry
         self._followers: Final = followers
-        self._is_needed: Final = is_needed
+        self._known_vms: Final = known_vms
+        self._required: Final = required
         self._uniform: Final = uniform
         self._written_followers = 0
         self._store: Final = store
@@ -137,10 +142,37 @@
         delay = NEED_CHECK_INTERVAL_S / max(MIN_CAPACITY, self._entry.bears)
         while True:
             await asyncio.sleep(delay * (0.5 + self._uniform()))
-            if self._is_needed():
+            if await self._needs_entry():
                 return
             delay = NEED_CHECK_INTERVAL_S
 
+    async def _needs_entry(self) -> bool:
+        if not self._is_needed(self._known_vms()):
+            return False
+        # An entry of a previous process is replaced, which adds none.
+        return self._stored_entry() is not None or self._is_needed(await self._list_others())
+
+    def _is_needed(self, others: Iterable[VmEntry]) -> bool:
+        own = self._entry
+        bigger = [
+            vm for vm in others if vm.data_centre == own.data_centre and vm.bears >= own.bears
+        ]
+        return len(bigger) < self._required
+
+    async def _list_others(self) -> Sequence[VmEntry]:
+        """Return the entries of other VMs in the store; empty if the store fails."""
+        prefix = self._key[: self._key.rfind("/") + 1]
+        try:
+            listed = await self._store.list(prefix)
+        except StoreError as error:
+            self._on_failure(str(error))
+            return ()
+        found = (_decode(entry) for entry in listed.entries if self._is_other(entry, prefix))
+        return [vm for vm in found if vm is not None]
+
+    def _is_other(self, entry: StoredValue, prefix: str) -> bool:
+        return entry.key.startswith(prefix) and entry.key != self._key
+
     async def _wait_until_renewal(self) -> None:
         """Wait for a renewal interval; it becomes shorter when this VM becomes a watcher."""
         waited = 0.0
@@ -170,11 +202,8 @@
 
     def _decode_own(self, entry: StoredValue | None) -> VmEntry | None:
         """Decode an entry; return None unless it is this VM's own with its current addresses."""
-        if entry is None or entry.value is None:
-            return None
-        try:
-            vm = codec.from_json(entry.value, VmEntry)
-        except codec.MalformedError:
+        vm = _decode(entry) if entry is not None else None
+        if vm is None:
             return None
         is_own = attrs.evolve(vm, followers=0, follower_bears=0.0) == self._entry
         return vm if is_own else None
@@ -224,5 +253,15 @@
         raise StoreUnavailable("the entry was changed by another writer at each of 3 attempts")
 
 
+def _decode(entry: StoredValue) -> VmEntry | None:
+    """Decode an entry; return None if it is deleted or malformed."""
+    if entry.value is None:
+        return None
+    try:
+        return codec.from_json(entry.value, VmEntry)
+    except codec.MalformedError:
+        return None
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/libs/forwarding/berylspindle_forwarding/vm_registry.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_registry.py
@@ -78,11 +78,6 @@
             and (vm.data_centre == self._data_centre or vm.bears >= self._min_merger_capacity)
         }
 
-    def is_announcement_needed(self, required: int) -> bool:
-        """Return whether fewer than `required` other local VMs, each at least as big, are known."""
-        bigger = [vm for vm in self._local_peers.values() if vm.bears >= self._capacity]
-        return len(bigger) < required
-
     def local_vm_count(self) -> int:
         """Return the number of VMs in the data centre, including those without an entry."""
         local = [vm for vm in self._vms.values() if vm.data_centre == self._data_centre]
--- a/tests/forwarding/test_vm_announcer.py
+++ b/tests/forwarding/test_vm_announcer.py
@@ -16,7 +16,13 @@
 from berylspindle_forwarding.catalogue import VmEntry
 from berylspindle_forwarding.vm_announcer import VmAnnouncer
 from berylspindle_model import codec
-from berylspindle_store.store import Lease, StoreConflict, StoredValue, StoreLeaseNotFound
+from berylspindle_store.store import (
+    Lease,
+    ListResult,
+    StoreConflict,
+    StoredValue,
+    StoreLeaseNotFound,
+)
 
 KEY = "vms/1"
 ENTRY = VmEntry(host="127.0.0.1", port=1, data_centre="a", bears=1.0)
@@ -33,9 +39,15 @@
 
     def __init__(self) -> None:
         self.entry: StoredValue | None = None
+        self.others: tuple[StoredValue, ...] = ()
         self.leases: set[str] = set()
         self.calls: Counter[str] = Counter()
 
+    async def list(self, prefix: str) -> ListResult:
+        self.calls["list"] += 1
+        assert prefix == "vms/"
+        return ListResult(revision=100, entries=self.others)
+
     async def grant_lease(self, ttl: float) -> Lease:
         self.calls["grant"] += 1
         lease = f"lease-{self.calls['grant']}"
@@ -72,7 +84,8 @@
         key=KEY,
         entry=ENTRY,
         followers=followers or FollowerCount(),
-        is_needed=lambda: is_needed,
+        known_vms=lambda: (),
+        required=1 if is_needed else 0,
         stored_entry=lambda: store.entry,
         listed=listed,
         on_failure=lambda detail: None,
@@ -108,6 +121,37 @@
     assert store.entry.lease in store.leases
 
 
+async def test_vms_that_start_together_are_not_all_announced() -> None:
+    """Guard against an entry and a lease of each VM while changes wait for the next batch.
+
+    The store has enough entries of other VMs; the VM's mirror does not have them yet.
+    """
+    store = LeaseStore()
+    bigger = codec.to_json(attrs.evolve(ENTRY, port=2, bears=2.0))
+    store.others = (StoredValue(key="vms/2", value=bigger, revision=99, lease="other"),)
+    async with announcing(store):
+        await asyncio.sleep(0.3)
+    assert store.calls["list"] >= 1
+    assert set(store.calls) == {"list"}
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        codec.to_json(attrs.evolve(ENTRY, bears=0.5)),
+        codec.to_json(attrs.evolve(ENTRY, data_centre="b")),
+        b"unreadable",
+    ],
+)
+async def test_entries_that_do_not_replace_this_one_do_not_count(value: bytes) -> None:
+    """Guard against a data centre without an entry because of smaller or distant VMs."""
+    store = LeaseStore()
+    store.others = (StoredValue(key="vms/2", value=value, revision=99, lease="other"),)
+    async with announcing(store):
+        await asyncio.sleep(0.3)
+    assert store.calls == {"list": 1, "grant": 1, "write": 1}
+
+
 async def test_vm_that_need_not_be_announced_does_not_call_the_store() -> None:
     """Guard against 940 leases where 15 are enough."""
     store = LeaseStore()
