Make searches need the servers of a killed VM in the test of their takeover

Cause: the caller's VM is in the other data centre, which has a replica of each shard. Searches reach the killed VM's data centre only as occasional hedges. The loop meant to change the other servers set refuse_connections to False, which it is from the start.

The servers of the other data centre answer 30 ms later, so that searches use the others once they have an owner again.

--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -271,10 +271,9 @@
     victim, *others = cluster.plan.daemons
     cluster.daemons[victim.vm].send_signal(signal.SIGKILL)
     caller = await open_caller(stack, cluster, 1)
-    for data_centre in {daemon.data_centre for daemon in others}:
-        await cluster.change_backends(
-            FaultChange(data_centre=data_centre, set={"refuse_connections": False})
-        )
+    # Searches prefer the other data centre, which is closer to the caller, unless it is slower.
+    for data_centre in {daemon.data_centre for daemon in others} - {victim.data_centre}:
+        await cluster.change_backends(FaultChange(data_centre=data_centre, set={"delay_ms": 30.0}))
     for _ in range(1000):
         await search_until_complete(caller)
         counts = await cluster.backend_counts()
