--- a/libs/daemon/berylspindle_daemon/daemon.py
+++ b/libs/daemon/berylspindle_daemon/daemon.py
@@ -122,14 +122,7 @@
         key = self._options.peer_key.reveal().encode() if self._options.peer_key else None
         platform, vm_list = await self._open_platform()
         store = InstrumentedStore(platform, self.metrics, self._observer.on_store_call)
-        self._links = PeerLinks(
-            self.me.id,
-            key=key,
-            connect_timeout=self._options.connect_timeout / 2,
-            on_fault=self._on_fault,
-            on_silent=self._on_link_silent,
-        )
-        self._stack.push_async_callback(self._links.close)
+        self._links = self._open_links(key)
         self._datagrams = await open_datagrams(
             self.me.host, self.me.peer_port, key=key, on_message=self._on_datagram
         )
@@ -185,6 +178,17 @@
         await asyncio.gather(*self._background, return_exceptions=True)
         await self._stack.aclose()
 
+    def _open_links(self, key: bytes | None) -> PeerLinks:
+        links = PeerLinks(
+            self.me.id,
+            key=key,
+            connect_timeout=self._options.connect_timeout / 2,
+            on_fault=self._on_fault,
+            on_silent=self._on_link_silent,
+        )
+        self._stack.push_async_callback(links.close)
+        return links
+
     async def _open_platform(self) -> tuple[HttpStore, HttpVmList]:
         options = self._options
         settings = StoreOptions(
--- a/libs/wire/berylspindle_wire/entry_link.py
+++ b/libs/wire/berylspindle_wire/entry_link.py
@@ -161,7 +161,7 @@
         """Fail outstanding attempts whose deadline has passed."""
         for pending in tuple(self._outstanding.values()):
             if now >= pending.deadline:
-                self._fail(pending, "the owner is silent")
+                self._fail(pending, "no reply before the deadline")
 
     async def close(self) -> None:
         """Close the link and fail all outstanding attempts."""
