Authenticate callers by the API keys of their organisations

A deployment may list organisations, and until now every caller of a route was served. The routing table now holds organisations and finds one by its key in one look-up. The front refuses a request without a valid key with 401 unless its route is public, replaces the key by the organisation's header, applies the organisation's priority, and awaits an optional quota decision. Relay headers on the callers' port have no effect once the table requires keys.

--- a/libs/forwarding/berylspindle_forwarding/dialect.py
+++ b/libs/forwarding/berylspindle_forwarding/dialect.py
@@ -46,6 +46,7 @@
         load: in a replica's reply: running, waiting and slots, separated by commas.
         parts: in a merged answer: the signatures of its parts, separated by commas.
         absent: in a merged answer: the number of missing shards.
+        organisation: to replicas: name of the organisation whose key the caller sent.
         misdirected: status of a replica that isn't the expected one and did not run the request.
     """
 
@@ -57,4 +58,5 @@
     load: bytes = b"x-replica-load"
     parts: bytes = b"x-part-signatures"
     absent: bytes = b"x-parts-absent"
+    organisation: bytes = b"x-organisation"
     misdirected: int = 421
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -132,7 +132,9 @@
             rollouts=self.rollouts,
         )
         self._relay: Final = make_relay(options, self.vms, self.registry, self._reach, metrics)
-        self.front: Final = Front(self._context, self._relay, self._accepts_relayed)
+        self.front: Final = Front(
+            self._context, self._relay, self._accepts_relayed, relay_port=options.relay_port
+        )
         self._isolation_monitor: Final = IsolationMonitor(
             self._reach,
             self.registry,
@@ -325,6 +327,11 @@
                 idle_timeout=limits.idle_timeout,
             )
         )
+        for organisations in change.table.key_conflicts:
+            self._log.warning(
+                "ignored a key that several organisations hold",
+                extra={"organisations": ", ".join(organisations)},
+            )
         self._log.info("routing table in force", extra={"version": change.table.version})
 
     def _update_replica(self, change: ReplicaChange) -> None:
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -1,16 +1,17 @@
 """Handle callers' forwarded requests.
 
-Flow: `handle` finds the route in the current routing table, sets the time limits, and executes the
-request with `ScatterGather` or relays it; each outcome goes to `request_log`. A refusal becomes a
-response according to the common table of error kinds, with a retry-after header in seconds that may
-have a fraction.
+Flow: `handle` finds the route in the current routing table, determines the caller's organisation if
+the table requires keys, sets the time limits, and executes the request with `ScatterGather` or
+relays it; `handle_relayed` executes a request that another VM has relayed. Each outcome goes to
+`request_log`. A refusal becomes a response according to the common table of error kinds, with a
+retry-after header in seconds that may have a fraction.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Final
 
@@ -20,8 +21,9 @@
 from berylspindle_decisions.response_timing import NEW_CONNECTION_MARGIN_MS, RESPONSE_MARGIN_MS
 from berylspindle_decisions.weighted_round_robin import WeightedRoundRobin
 from berylspindle_forwarding.attempt_policy import ForwardContext, RequestTimes
+from berylspindle_forwarding.credentials import KeyFault, accept_relayed, authenticate
 from berylspindle_forwarding.dialect import Dialect
-from berylspindle_forwarding.relay import Relay, RelayTimes
+from berylspindle_forwarding.relay import Relay, RelayPort, RelayTimes
 from berylspindle_forwarding.request_head import (
     RELAY_LOAD,
     RELAY_UNRUN,
@@ -34,7 +36,7 @@
 from berylspindle_forwarding.scatter_gather import ScatterGather
 from berylspindle_forwarding.subset_call import SubsetCall
 from berylspindle_model.errors import ANSWERS, ErrorKind, Refusal
-from berylspindle_model.routing import Route, RoutingTable
+from berylspindle_model.routing import Organisation, Route, RoutingTable
 from berylspindle_telemetry import metric_names as names
 from berylspindle_wire.http import HttpRequest, HttpResponse
 
@@ -56,6 +58,11 @@
 """Statuses that override the common table of error kinds: callers of forwarded requests treat a 4xx
 as an invalid request, and don't retry it."""
 
+AdmitQuota = Callable[[Organisation, Route, RequestTimes], Awaitable[Refusal | None]]
+"""Decide whether a caller's request is within the quota of its organisation, and return the refusal
+if it isn't. Awaited once for each request of a caller with a valid key, before it is admitted,
+relayed or sent to replicas; not awaited for relayed requests, which their origin has counted."""
+
 _CALLER_LEFT: Final = Refusal(ErrorKind.CANCELLED, "the caller disconnected")
 
 
@@ -64,14 +71,16 @@
     """One request with its route and the version of the routing table that the route is from.
 
     The current table may change while the request is relayed, and a merger must interpret shard
-    positions by the table they were taken from.
+    positions by the table they were taken from. `may_relay` is false if other VMs could not tell
+    the request from a forged one.
     """
 
     forward: ForwardRequest
     route: Route
     table_version: int
     times: RequestTimes
-    table_wait_ms: float
+    table_wait_ms: float = 0.0
+    may_relay: bool = True
 
     @property
     def relay_times(self) -> RelayTimes:
@@ -88,12 +97,20 @@
     """Serve callers' forwarded requests."""
 
     def __init__(
-        self, context: ForwardContext, relay: Relay, accepts_relayed: Callable[[], bool]
+        self,
+        context: ForwardContext,
+        relay: Relay,
+        accepts_relayed: Callable[[], bool],
+        *,
+        relay_port: RelayPort = RelayPort.CALLERS,
+        admit_quota: AdmitQuota | None = None,
     ) -> None:
         """Initialize; `accepts_relayed` returns whether this VM accepts relayed requests."""
         self._context: Final = context
         self._relay: Final = relay
         self._accepts_relayed: Final = accepts_relayed
+        self._relay_port: Final = relay_port
+        self._admit_quota: Final = admit_quota
         self._table: RoutingTable | None = None
         self._table_known: Final = asyncio.Event()
         self._turns: dict[str, tuple[Route, WeightedRoundRobin]] = {}
@@ -117,40 +134,128 @@
         self._table_known.set()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request."""
+        """Answer one request that arrived on the callers' port."""
         started = self.last_request = self._context.now()
         self._in_flight += 1
         try:
             forward = read_forward(request, self._context.dialect)
-            if forward.relayed is not None and not self._can_merge(forward.relayed):
-                return _unrun_reply(self._context.dialect, forward)
-            table_wait_ms = await self._await_table(forward) if self._table is None else 0.0
-            route = self._route(forward)
-            if isinstance(route, Refusal):
-                self._count("-", route.kind.value)
-                self._request_log.record(
-                    FinishedRequest(request=forward, outcome=route, table_wait_ms=table_wait_ms)
+            if forward.relayed is None:
+                return await self._serve(forward, request, started)
+            if self._trusts_callers_port():
+                return await self._merge(forward, forward.relayed, request, started)
+            return await self._serve(attrs.evolve(forward, relayed=None), request, started)
+        finally:
+            self._in_flight -= 1
+
+    async def handle_relayed(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request of another VM that arrived on the port for relayed requests."""
+        started = self.last_request = self._context.now()
+        self._in_flight += 1
+        try:
+            forward = read_forward(request, self._context.dialect)
+            if forward.relayed is None:
+                return self._refuse(
+                    Refusal(ErrorKind.BAD_REQUEST, "not a relayed request"), forward
+                )
+            return await self._merge(forward, forward.relayed, request, started)
+        finally:
+            self._in_flight -= 1
+
+    def _trusts_callers_port(self) -> bool:
+        """Return whether relay headers on the callers' port are those of another VM."""
+        requires_key = self._table is not None and self._table.requires_key
+        return self._relay_port is RelayPort.CALLERS and not requires_key
+
+    async def _serve(
+        self, forward: ForwardRequest, request: HttpRequest, started: float
+    ) -> HttpResponse:
+        """Answer a caller's request."""
+        table_wait_ms = await self._await_table(forward) if self._table is None else 0.0
+        # A table that arrives while the request is in flight must not change its organisation.
+        table = self._table
+        if table is None:
+            refusal = Refusal(ErrorKind.NOT_READY, retry_after_ms=NOT_READY_RETRY_MS)
+            return self._refuse(refusal, forward, table_wait_ms=table_wait_ms)
+        route = table.find(forward.host, forward.path)
+        if route is None:
+            return self._refuse(Refusal(ErrorKind.NOT_FOUND), forward, table_wait_ms=table_wait_ms)
+        if table.requires_key:
+            authenticated = authenticate(
+                forward, request.raw_headers, route, table, self._context.dialect
+            )
+            if isinstance(authenticated, KeyFault):
+                refusal = Refusal(ErrorKind.UNAUTHORISED, authenticated.value)
+                return self._refuse(refusal, forward, route, table_wait_ms=table_wait_ms)
+            forward = authenticated
+            route = _with_priority(route, forward.organisation)
+        routed = RoutedRequest(
+            forward=forward,
+            route=route,
+            table_version=table.version,
+            times=request_times(route, forward, started, is_first=request.is_first),
+            table_wait_ms=table_wait_ms,
+            may_relay=self._relay_port is RelayPort.SEPARATE or not table.requires_key,
+        )
+        if forward.organisation is not None and self._admit_quota is not None:
+            excess = await self._admit_quota(forward.organisation, route, routed.times)
+            if excess is not None:
+                elapsed_ms = (self._context.now() - started) * 1000
+                return self._refuse(
+                    excess, forward, route, table_wait_ms=table_wait_ms, elapsed_ms=elapsed_ms
                 )
-                return refusal_reply(route, self._context.dialect.request_id, forward.request_id)
-            if forward.relayed is not None and forward.relayed.shards:
-                subset_route = _subset_route(route, forward.relayed.shards)
-                if subset_route is None:
-                    return _unrun_reply(self._context.dialect, forward)
-                route = subset_route
-            routed = RoutedRequest(
-                forward=forward,
+        if route.shard_set is not None and routed.may_relay:
+            merged = await self._merge_elsewhere(routed)
+            if merged is not None:
+                return merged
+        return await self._execute(routed)
+
+    async def _merge(
+        self, forward: ForwardRequest, relayed: RelayInfo, request: HttpRequest, started: float
+    ) -> HttpResponse:
+        """Answer a request that another VM has relayed."""
+        table = self._table
+        if table is None or not self._can_merge(table, relayed):
+            return _unrun_reply(self._context.dialect, forward)
+        route = table.find(forward.host, forward.path)
+        if route is None:
+            return self._refuse(Refusal(ErrorKind.NOT_FOUND), forward)
+        if relayed.shards:
+            subset_route = _subset_route(route, relayed.shards)
+            if subset_route is None:
+                return _unrun_reply(self._context.dialect, forward)
+            route = subset_route
+        if table.requires_key:
+            forward = accept_relayed(forward, table, self._context.dialect)
+            route = _with_priority(route, forward.organisation)
+        routed = RoutedRequest(
+            forward=forward,
+            route=route,
+            table_version=table.version,
+            times=request_times(route, forward, started, is_first=request.is_first),
+        )
+        return await self._execute(routed)
+
+    def _refuse(
+        self,
+        refusal: Refusal,
+        forward: ForwardRequest,
+        route: Route | None = None,
+        *,
+        table_wait_ms: float = 0.0,
+        elapsed_ms: float = 0.0,
+    ) -> HttpResponse:
+        """Record a request that is refused before its execution, and return the response."""
+        self._count(route.name if route is not None else "-", refusal.kind.value)
+        self._request_log.record(
+            FinishedRequest(
+                request=forward,
+                outcome=refusal,
                 route=route,
-                table_version=self._table.version if self._table is not None else 0,
-                times=request_times(route, forward, started, is_first=request.is_first),
+                elapsed_ms=elapsed_ms,
                 table_wait_ms=table_wait_ms,
             )
-            if route.shard_set is not None and forward.relayed is None:
-                merged = await self._merge_elsewhere(routed)
-                if merged is not None:
-                    return merged
-            return await self._execute(routed)
-        finally:
-            self._in_flight -= 1
+        )
+        return refusal_reply(refusal, self._context.dialect.request_id, forward.request_id)
 
     async def _await_table(self, forward: ForwardRequest) -> float:
         """Wait for the first routing table, and return the wait in milliseconds."""
@@ -166,21 +271,12 @@
             pass
         return (self._context.now() - began) * 1000
 
-    def _route(self, forward: ForwardRequest) -> Route | Refusal:
-        if self._table is None:
-            return Refusal(ErrorKind.NOT_READY, retry_after_ms=NOT_READY_RETRY_MS)
-        return self._table.find(forward.host, forward.path) or Refusal(ErrorKind.NOT_FOUND)
-
     async def _execute(self, routed: RoutedRequest) -> HttpResponse:
         """Execute a request and record its outcome."""
         forward, id_header = routed.forward, self._context.dialect.request_id
         mode = self._context.crashes.run_mode(forward)
         if isinstance(mode, Refusal):
-            self._count(routed.route.name, mode.kind.value)
-            self._request_log.record(
-                FinishedRequest(request=forward, outcome=mode, route=routed.route)
-            )
-            return refusal_reply(mode, id_header, forward.request_id)
+            return self._refuse(mode, forward, routed.route)
         work = self._canary(routed) if mode is RunMode.CANARY else self._plain(routed)
         outcome: HttpResponse | Refusal = _CALLER_LEFT
         try:
@@ -222,18 +318,14 @@
             avoided=self._context.crashes.crashed_replicas(routed.forward),
         )
 
-    def _can_merge(self, relayed: RelayInfo) -> bool:
+    def _can_merge(self, table: RoutingTable, relayed: RelayInfo) -> bool:
         """Return whether to execute a relayed request; the table versions must be equal."""
-        return (
-            self._accepts_relayed()
-            and self._table is not None
-            and self._table.version == relayed.table
-        )
+        return self._accepts_relayed() and table.version == relayed.table
 
     def _subset_call(self, routed: RoutedRequest) -> SubsetCall | None:
         """Return the call for the shards of a search that another VM merges, if any."""
         shard_set, relayed = routed.route.shard_set, routed.forward.relayed
-        if shard_set is None or (relayed is not None and relayed.shards):
+        if shard_set is None or not routed.may_relay or (relayed is not None and relayed.shards):
             return None
         subset = self._relay.choose_subset(shard_set.shards, self._in_flight)
         if subset is None:
@@ -350,6 +442,13 @@
     return attrs.evolve(route, shard_set=subset)
 
 
+def _with_priority(route: Route, organisation: Organisation | None) -> Route:
+    """Return the route with the priority of an organisation, if it has one."""
+    if organisation is None or organisation.priority in (None, route.priority):
+        return route
+    return attrs.evolve(route, priority=organisation.priority)
+
+
 def refusal_reply(refusal: Refusal, id_header: bytes, request_id: bytes) -> HttpResponse:
     """Return the response for a refusal, with the caller's request id."""
     headers: list[tuple[bytes, bytes]] = []
@@ -357,6 +456,8 @@
         headers.append((id_header, request_id))
     if refusal.retry_after is not None:
         headers.append((b"retry-after", f"{refusal.retry_after / 1000:.3f}".encode()))
+    if refusal.kind is ErrorKind.UNAUTHORISED:
+        headers.append((b"www-authenticate", b"Bearer"))
     answer = ANSWERS[refusal.kind]
     return HttpResponse(
         status=_STATUS.get(refusal.kind, answer.status),
--- a/libs/forwarding/berylspindle_forwarding/relay.py
+++ b/libs/forwarding/berylspindle_forwarding/relay.py
@@ -6,8 +6,8 @@
   unrun    reply header of a merger that has not begun the request; the origin runs it then
 
 Flow: `choose_merger` selects the merger, if any. `dispatch` sends the request to the merger's port
-for callers with additional headers and returns its response, a refusal, or None if the merger has
-certainly not begun the request. A merger never relays a request again.
+for relayed requests (`RelayPort`) with additional headers and returns its response, a refusal, or
+None if the merger has certainly not begun the request. A merger never relays a request again.
 
 A merger that has not replied by the route's latency target, the aim, is probed. If the probe times
 out as well, the request fails at once, while the caller still has time to retry.
@@ -21,6 +21,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from collections.abc import Callable, Mapping
 from typing import Final
 
@@ -77,6 +78,22 @@
 _RELAY_HEADERS: Final = frozenset({RELAY_LOAD, RELAY_UNRUN})
 
 
+class RelayPort(enum.Enum):
+    """Where VMs send relayed requests.
+
+    A caller can forge the headers of a relayed request. On the callers' port they are therefore
+    trusted only as long as requests need no key.
+
+    CALLERS: to the callers' port, as no organisations can be configured.
+    SEPARATE: to a port that callers don't reach; relay headers on the callers' port are ignored.
+    NONE: organisations may be configured, but there is no separate port.
+    """
+
+    CALLERS = "callers"
+    SEPARATE = "separate"
+    NONE = "none"
+
+
 @attrs.frozen(kw_only=True)
 class RelayTimes:
     """Time limits of a relayed request, in seconds of the event loop's clock.
--- a/libs/forwarding/berylspindle_forwarding/request_head.py
+++ b/libs/forwarding/berylspindle_forwarding/request_head.py
@@ -13,6 +13,7 @@
 import attrs
 
 from berylspindle_forwarding.dialect import HOP_HEADERS, Dialect
+from berylspindle_model.routing import Organisation
 from berylspindle_wire.exchange import ExchangeRequest
 from berylspindle_wire.http import HttpRequest
 
@@ -51,6 +52,7 @@
         left_ms: how long the caller still waits, or None if not stated.
         forwarded_headers: headers except hop-by-hop headers and those set anew on each hop.
         relayed: None if the request is from a caller and not from another VM.
+        organisation: organisation of the caller, or None if none is known.
     """
 
     method: bytes
@@ -62,6 +64,7 @@
     forwarded_headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     relayed: RelayInfo | None = None
+    organisation: Organisation | None = None
 
 
 def read_forward(request: HttpRequest, dialect: Dialect) -> ForwardRequest:
--- a/libs/forwarding/berylspindle_forwarding/request_log.py
+++ b/libs/forwarding/berylspindle_forwarding/request_log.py
@@ -107,6 +107,8 @@
             "vms": context.vms,
             "in_flight": context.in_flight,
         }
+        if request.organisation is not None:
+            fields["organisation"] = request.organisation.name
         if cause is not None:
             fields["cause"] = cause.value
         if isinstance(outcome, Refusal):
--- a/libs/model/berylspindle_model/routing.py
+++ b/libs/model/berylspindle_model/routing.py
@@ -8,6 +8,7 @@
   shard set    the services that together hold one index; each is one shard of it
   record       a fixed-size piece of a shard's response; the highest records of all shards form the
                merged response
+  organisation a customer whose callers identify themselves by API keys
 
 Flow: a table of one version is parsed, validated and replaced as a whole. The data plane looks up a
 request's route with `find` and keeps it until the request ends, so that no request uses parts of
@@ -66,6 +67,7 @@
         aim_ms: latency target.
         priority: priority under load shedding; 0 is the highest.
         max_replicas: maximum number of replicas, of each shard, that may run one request.
+        public: whether requests need no key even if the table lists organisations.
     """
 
     name: str
@@ -78,6 +80,7 @@
     max_replicas: int = 1
     targets: tuple[WeightedService, ...] = ()
     shard_set: ShardSet | None = None
+    public: bool = False
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -139,8 +142,26 @@
     version: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class Organisation:
+    """An organisation, its API keys and its request quota over all VMs together.
+
+    Attributes:
+        keys: API keys of its callers; omitted from representations, as they are secret.
+        priority: replaces the priority of a route, or None.
+        rate: quota in requests per second; 0 means no limit.
+        burst: requests beyond the rate that may arrive at once.
+    """
+
+    name: str
+    keys: tuple[str, ...] = attrs.field(default=(), repr=False)
+    priority: int | None = None
+    rate: float = 0.0
+    burst: float = 0.0
+
+
 class RoutingTable:
-    """All routes of one version; immutable."""
+    """All routes and organisations of one version; immutable."""
 
     def __init__(
         self,
@@ -148,6 +169,7 @@
         routes: tuple[Route, ...],
         services: Mapping[str, ServiceRules],
         limits: CallerLimits,
+        organisations: tuple[Organisation, ...] = (),
     ) -> None:
         self.version: Final = version
         self.routes: Final = routes
@@ -159,6 +181,22 @@
         for host_routes in by_host.values():
             host_routes.sort(key=lambda route: len(route.prefix), reverse=True)
         self._by_host: Final = by_host
+        self.organisations: Final[Mapping[str, Organisation]] = {
+            organisation.name: organisation for organisation in organisations
+        }
+        owners, conflicts = _assign_keys(organisations)
+        self._by_key: Final = owners
+        self.key_conflicts: Final = conflicts
+        """Names of the organisations that hold a key together, one tuple for each such group."""
+
+    @property
+    def requires_key(self) -> bool:
+        """Return whether requests need the key of an organisation unless their route is public."""
+        return bool(self.organisations)
+
+    def find_organisation(self, key: str) -> Organisation | None:
+        """Return the organisation that a key belongs to, or None."""
+        return self._by_key.get(key)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the longest-prefix match for a lower-case host and a raw path, or None."""
@@ -170,3 +208,24 @@
     def rules(self, service: str) -> ServiceRules:
         """Return the rules of a service, or the defaults if the table has none."""
         return self.services.get(service) or ServiceRules(name=service)
+
+
+def _assign_keys(
+    organisations: tuple[Organisation, ...],
+) -> tuple[Mapping[str, Organisation], tuple[tuple[str, ...], ...]]:
+    """Return the owner of each key, and the names of organisations that hold a key together.
+
+    A key of several organisations belongs to none, since a request with it can't be attributed.
+    """
+    owners: dict[str, Organisation] = {}
+    shared: dict[str, list[str]] = {}
+    for organisation in organisations:
+        for key in organisation.keys:
+            owner = owners.setdefault(key, organisation)
+            if owner.name != organisation.name:
+                names = shared.setdefault(key, [owner.name])
+                if organisation.name not in names:
+                    names.append(organisation.name)
+    for key in shared:
+        del owners[key]
+    return owners, tuple(sorted({tuple(names) for names in shared.values()}))
