Decode organisations, and serve relayed requests on a port of their own

Callers can forge the headers of requests that VMs relay to each other, which would bypass keys. The adapter now decodes the organisations of a configuration, and with the setting for them each VM takes relayed requests on the first free internal port, which the shutdown closes like the callers' port.

--- a/libs/forwarding/berylspindle_forwarding/catalogue_changes.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue_changes.py
@@ -52,7 +52,8 @@
 
     Attributes:
         port: port of its mirror.
-        callers_port: port for requests of callers and other VMs; 0 if it accepts none of VMs.
+        callers_port: port for relayed requests of other VMs, which callers use too unless it is
+            separate; 0 if it accepts none.
         bears: its capacity in cores (`decisions.relay_choice`).
         followers: number of VMs that follow this one and have no entry of their own.
         follower_bears: the smallest capacity among these followers.
--- a/libs/forwarding/berylspindle_forwarding/forward_daemon.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_daemon.py
@@ -1,7 +1,8 @@
 """The forwarding daemon of one VM: its edges and its graceful shutdown.
 
 Terms:
-  edge    an address that the daemon listens on: for callers, the balancer, metrics and peers
+  edge    an address that the daemon listens on: for callers, the balancer, metrics and peers, and
+          for requests that other VMs relay unless they send them to the callers' port
   stage   a step of the shutdown
 
 Flow: `run_forward_daemon` opens the store's client, the forwarder and the edges, all owned by one
@@ -11,7 +12,7 @@
             served, since the balancer takes one or two seconds to detect it and callers keep
             connections open
   drain     `BALANCER_DETECTION_S` later, or sooner if the grace period is too short for it: the
-            callers' port is closed, and pending requests are finished
+            ports of callers and of relayed requests are closed, and pending requests are finished
   close     everything is closed
 
 Guard: callers with an open connection send on it until a response asks them to close it. From the
@@ -52,6 +53,10 @@
 CLOSE_RESERVE_S: Final = 1.0
 """Seconds of the grace period that are reserved for closing."""
 
+RELAY_HEADER_BYTES: Final = 2048
+"""Size in bytes of the headers that an origin adds to a relayed request: its relay headers with the
+bit set of up to a thousand shards, the time left and the organisation's name."""
+
 WITHDRAW_TIMEOUT_S: Final = 0.4
 """Time-out in seconds for withdrawing this VM's announcement: a store that does not respond would
 keep the process running beyond its grace period."""
@@ -75,8 +80,10 @@
         ready: address of the balancer's readiness check, or None; its path is `ready_path`.
         metrics: address for reading metrics, or None; the path is `metrics_path`.
         peers: address at which other VMs read this one's mirror, or None.
+        relays: address for relayed requests of other VMs, or None if these use the callers' port.
         grace_s: seconds between the signal to stop and the end of the process.
         connections: maximum number of callers' connections.
+        relay_connections: maximum number of connections at `relays`.
     """
 
     callers: Endpoint
@@ -86,8 +93,10 @@
     metrics: Endpoint | None = None
     metrics_path: str = "/metrics"
     peers: Endpoint | None = None
+    relays: Endpoint | None = None
     grace_s: float = 6.0
     connections: int = 2000
+    relay_connections: int = 1000
 
 
 class ForwardDaemon:
@@ -101,6 +110,7 @@
         self._log_limiter: Final = LogRateLimiter()
         self._stack: Final = AsyncExitStack()
         self._callers: HttpServer
+        self._relays: HttpServer | None = None
 
     async def start(self) -> None:
         """Open the edges; raises OSError if an address can't be bound."""
@@ -116,6 +126,17 @@
             listening_socket=self._edges.bound,
         )
         self._stack.push_async_callback(self._callers.close, 0.0)
+        if self._edges.relays is not None:
+            self._relays = await serve(
+                self._forwarder.front.handle_relayed,
+                host=self._edges.relays.host,
+                port=self._edges.relays.port,
+                limits=HttpLimits(connections=self._edges.relay_connections),
+                on_fault=self._on_fault,
+                read=read_raw_head,
+                refuse=self._refuse_unread,
+            )
+            self._stack.push_async_callback(self._relays.close, 0.0)
         self._forwarder.on_limits = self._set_limits
         self._forwarder.on_cut_off = self._callers.set_connection_close
         if self._edges.peers is not None:
@@ -131,10 +152,13 @@
         deadline = loop.time() + self._edges.grace_s - CLOSE_RESERVE_S
         self._log_stage("unready")
         self._forwarder.begin_shutdown()
-        self._callers.begin_drain()
+        servers = [self._callers] if self._relays is None else [self._callers, self._relays]
+        for server in servers:
+            server.begin_drain()
         await asyncio.sleep(min(BALANCER_DETECTION_S, max(0.0, deadline - loop.time())))
         self._log_stage("drain")
-        await self._callers.close(max(0.1, deadline - loop.time()))
+        grace = max(0.1, deadline - loop.time())
+        await asyncio.gather(*(server.close(grace) for server in servers))
         self._log_stage("close")
         try:
             async with asyncio.timeout(WITHDRAW_TIMEOUT_S):
@@ -186,6 +210,13 @@
 
     def _set_limits(self, limits: HttpLimits) -> None:
         self._callers.set_limits(attrs.evolve(limits, connections=self._edges.connections))
+        if self._relays is not None:
+            relay_limits = attrs.evolve(
+                limits,
+                header_bytes=limits.header_bytes + RELAY_HEADER_BYTES,
+                connections=self._edges.relay_connections,
+            )
+            self._relays.set_limits(relay_limits)
 
     def _on_fault(self, error: BaseException) -> None:
         self._metrics.count(names.FORWARD_REQUESTS, route="-", result="fault")
--- a/libs/standins/berylspindle_standins/forward_replica.py
+++ b/libs/standins/berylspindle_standins/forward_replica.py
@@ -19,7 +19,7 @@
 import hashlib
 import socket
 import struct
-from collections import Counter
+from collections import Counter, deque
 from typing import Final
 
 import attrs
@@ -28,6 +28,7 @@
 from berylspindle_standins.slots import Slots
 
 RECORD_COUNT: Final = 12
+MAX_HEADS: Final = 100
 _READ_BYTES: Final = 65536
 
 
@@ -93,6 +94,7 @@
         remaining_ms: time left until the deadline of each request that ran, as its header states.
         targets: targets of the requests that ran.
         bodies: bodies of the requests that ran.
+        heads: the last heads received, as they arrived.
     """
 
     arrivals: int = 0
@@ -104,6 +106,7 @@
     remaining_ms: list[int] = attrs.field(factory=list)
     targets: list[str] = attrs.field(factory=list)
     bodies: list[bytes] = attrs.field(factory=list)
+    heads: deque[bytes] = attrs.field(factory=lambda: deque(maxlen=MAX_HEADS))
 
 
 def answer_body(service: str, target: str) -> bytes:
@@ -201,6 +204,7 @@
         }
         length = int(headers.get("content-length", "0"))
         self.counts.arrivals += 1
+        self.counts.heads.append(head)
         early = self._consume_fault(ReplyFault.EARLY)
         if early:
             self._write(writer, self._answer(target, headers))
--- a/tests/forwarding/forward_site.py
+++ b/tests/forwarding/forward_site.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import attrs
@@ -19,6 +19,7 @@
 from berylspindle_forwarding.front import refusal_reply
 from berylspindle_model.routing import (
     CallerLimits,
+    Organisation,
     Replica,
     Route,
     RoutingTable,
@@ -105,10 +106,16 @@
     version: int = 0
     count: int = 0
 
-    def route(self, *routes: Route, limits: CallerLimits | None = None, **rules: ServiceRules):
+    def route(
+        self,
+        *routes: Route,
+        limits: CallerLimits | None = None,
+        organisations: tuple[Organisation, ...] = (),
+        **rules: ServiceRules,
+    ):
         """Publish a new routing table with these routes."""
         self.version += 1
-        table = RoutingTable(self.version, routes, rules, limits or CallerLimits())
+        table = RoutingTable(self.version, routes, rules, limits or CallerLimits(), organisations)
         self.forwarder.on_change(TableChange(table))
 
     async def replica(self, name: str, service: str, *, slots: int = 3, **fields) -> ForwardReplica:
@@ -149,8 +156,9 @@
         request_id: str = "",
         left_ms: int | None = 4000,
         host: str = HOST,
+        extra: Mapping[str, str] | None = None,
     ) -> HttpResponse:
-        """Send one request and return the response."""
+        """Send one request, with `extra` headers, and return the response."""
         self.count += 1
         headers = {
             "host": host,
@@ -158,6 +166,7 @@
         }
         if left_ms is not None:
             headers[DIALECT.time_left.decode()] = str(left_ms)
+        headers |= extra or {}
         return await self.client.request(method, path, headers=headers, body=body, timeout=10)
 
     def runs(self) -> dict[str, int]:
--- a/tests/platform_adapter/test_entries.py
+++ b/tests/platform_adapter/test_entries.py
@@ -18,7 +18,9 @@
     VmChange,
     VmEntry,
 )
-from berylspindle_model.routing import Replica, WeightedService
+from berylspindle_forwarding.forward_daemon import Endpoint
+from berylspindle_forwarding.relay import RelayPort
+from berylspindle_model.routing import Organisation, Replica, WeightedService
 from berylspindle_store.store import StoredValue
 
 CONFIGURATION = {
@@ -152,6 +154,54 @@
     assert isinstance(read_change("op/config", {"version": "7"}), UnreadableEntry)
 
 
+def configuration_with(*tenants: object) -> dict[str, object]:
+    return {**CONFIGURATION, "tenants": list(tenants)}
+
+
+def test_configuration_with_tenants_yields_organisations():
+    rows = [
+        {"name": "a", "api_keys": ["k1", "k2"], "priority": 2, "rate_per_s": 1e308, "burst": 3},
+        {"name": "b", "api_keys": ["k2"], "rate_per_s": None},
+        {"name": "c"},
+    ]
+    change = read_change("op/config", configuration_with(*rows))
+    assert isinstance(change, TableChange)
+    table = change.table
+    assert table.find_organisation("k1") == Organisation(
+        name="a", keys=("k1", "k2"), priority=2, rate=1e308, burst=3.0
+    )
+    assert table.find_organisation("k2") is None
+    assert table.organisations["b"].priority is None
+    assert table.organisations["c"] == Organisation(name="c")
+    empty = read_change("op/config", configuration_with())
+    assert isinstance(empty, TableChange)
+    assert not empty.table.requires_key
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        {"name": ""},
+        {"name": "a\r\nx-forged: b"},
+        {"name": " a"},
+        {"name": "a", "rate_per_s": -1},
+        {"name": "a", "burst": -0.5},
+        {"name": "a", "rate_per_s": float("nan")},
+        {"name": "a", "burst": float("inf")},
+        {"name": "a", "rate_per_s": 10**400},
+        {"name": "a", "api_keys": ["s3cr3t", 5]},
+        {"name": "a", "api_keys": "s3cr3t"},
+        {"name": "b"},
+        {},
+    ],
+)
+def test_configuration_with_a_malformed_tenant_is_unreadable(row: dict[str, object]):
+    """Guard against organisations without their limit, and against keys in the reason."""
+    change = read_change("op/config", configuration_with({"name": "b"}, row))
+    assert isinstance(change, UnreadableEntry)
+    assert "s3cr3t" not in change.reason
+
+
 SETTINGS = """
 node = "front-1"
 zone = "north"
@@ -184,6 +234,26 @@
     assert settings.forward.extra.ratio == 0.25
     assert settings.edges.grace_s == 5
     assert settings.store.port == 8229
+    assert settings.edges.relays is None
+    assert settings.forward.callers_port == 8226
+    assert settings.forward.relay_port is RelayPort.CALLERS
+
+
+def test_contract_for_organisations_opens_the_first_free_internal_port(tmp_path: Path):
+    """Guard against relayed requests on the callers' port, and a port that is already in use."""
+    path = tmp_path / "node.toml"
+    text = SETTINGS.replace("unknown = 1", 'contracts = ["other", "tenants"]')
+    text = text.replace("[bounds]", 'control = "127.0.0.2:7740"\n[bounds]\nquota_slack = 7')
+    path.write_text(text)
+    settings = load_settings(path)
+    assert settings.edges.relays == Endpoint("127.0.0.2", 7741)
+    assert settings.forward.callers_port == 7741
+    assert settings.forward.relay_port is RelayPort.SEPARATE
+    assert (settings.forward.quota_window_s, settings.forward.quota_slack) == (5.0, 7.0)
+    path.write_text(text.replace("internal_ports", "other_ports"))
+    settings = load_settings(path)
+    assert (settings.edges.relays, settings.forward.callers_port) == (None, 0)
+    assert settings.forward.relay_port is RelayPort.NONE
 
 
 @pytest.mark.parametrize(
@@ -193,6 +263,7 @@
         (SETTINGS.replace('zone = "north"', ""), "zone"),
         (SETTINGS.replace("127.0.0.1:8229", "nowhere"), "missing or malformed"),
         (SETTINGS.replace("127.0.0.1:8226", "nowhere"), "listen.front"),
+        (SETTINGS.replace("[7740, 7755]", "[7740]"), "missing or malformed"),
     ],
 )
 def test_unusable_settings_are_reported_in_one_line(tmp_path: Path, text: str, matched: str):
