Read log lines in the tests of organisations from the project's own log

Python's logging doesn't receive the project's lines, so the assertions that no line holds a key looked at none.

--- a/tests/forwarding/test_crash_watch.py
+++ b/tests/forwarding/test_crash_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import io
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 
@@ -12,8 +13,10 @@
 from berylspindle_forwarding.catalogue_changes import SuspectChange
 from berylspindle_forwarding.crash_watch import MAX_WRITES
 from berylspindle_model import codec
+from berylspindle_model.routing import Organisation
 from berylspindle_standins.forward_replica import ReplyFault
 from berylspindle_store.store import Lease, StoreConflict, StoredValue, StoreUnavailable
+from berylspindle_telemetry.logs import log_context
 
 SHARDS = ("s0", "s1", "s2", "s3")
 REPLICAS = 3
@@ -128,3 +131,20 @@
             await sites[0].ask(f"/booking/{POISON}-{number}", left_ms=500)
             await revive_replicas(sites, sites[0])
         assert 0 < store.writes <= MAX_WRITES
+
+
+async def test_crash_records_and_canaries_hold_no_key() -> None:
+    """Guard against keys of callers in the records and lines about their requests."""
+    stream = io.StringIO()
+    acme = Organisation(name="acme", keys=("s3cr3t",))
+    async with open_fleet(1) as (store, sites):
+        sites[0].route(plain_route(), organisations=(acme,))
+        with log_context(level="debug", stream=stream):
+            for _ in range(2):
+                extra = {"authorization": "Bearer s3cr3t"}
+                await sites[0].ask(f"/booking/{POISON}", left_ms=1500, extra=extra)
+                await revive_replicas(sites, sites[0])
+        heads = [head for replica in sites[0].replicas.values() for head in replica.counts.heads]
+        assert "fingerprint=" in stream.getvalue()
+        assert len(heads) >= 3
+        assert "s3cr3t" not in f"{stream.getvalue()}{store.entries}{heads}"
--- a/tests/platform_adapter/test_entries.py
+++ b/tests/platform_adapter/test_entries.py
@@ -173,6 +173,7 @@
     assert table.find_organisation("k2") is None
     assert table.organisations["b"].priority is None
     assert table.organisations["c"] == Organisation(name="c")
+    assert table.requires_key
     empty = read_change("op/config", configuration_with())
     assert isinstance(empty, TableChange)
     assert not empty.table.requires_key
