Apply an organisation's priority at admission instead of in a copy of its route

Two copies by attrs.evolve took about 21 us per request, more than keys and quotas together may cost. The priority is now chosen by the policy of the request, and the request is copied once by its constructor: 7 to 8 us at 82 and at 10,000 organisations, on a machine with a load average of 7.

The tests of organisations and of crash records pass.

--- a/libs/forwarding/berylspindle_forwarding/attempt_policy.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_policy.py
@@ -39,7 +39,7 @@
 from berylspindle_forwarding.reply_check import ReplyClass
 from berylspindle_forwarding.rollouts import Rollouts
 from berylspindle_model.errors import ErrorKind, Refusal, RunState
-from berylspindle_model.routing import Route
+from berylspindle_model.routing import Organisation, Route
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.logs import logger
 from berylspindle_telemetry.metrics import Metrics
@@ -135,9 +135,15 @@
         route: Route,
         times: RequestTimes,
         avoided: frozenset[str] = frozenset(),
+        organisation: Organisation | None = None,
     ) -> None:
-        """Initialize; replicas in `avoided` are selected only if no other is usable."""
+        """Initialize; replicas in `avoided` are selected only if no other is usable.
+
+        The priority of `organisation`, if it has one, replaces that of the route.
+        """
         self._avoided: Final = avoided
+        own_priority = organisation.priority if organisation is not None else None
+        self._priority: Final = route.priority if own_priority is None else own_priority
         self._context: Final = context
         self._route: Final = route
         self._times: Final = times
@@ -331,7 +337,7 @@
         left_ms = (self._times.deadline - now) * 1000
         request = AdmissionRequest(
             group=services[0],
-            priority=self._route.priority,
+            priority=self._priority,
             pressure=queueing_pressure(added_ms, min_parts=least, target_ms=aim_ms),
         )
         if self._context.admission.admit(now, request, uniform=random.random()):
--- a/libs/forwarding/berylspindle_forwarding/credentials.py
+++ b/libs/forwarding/berylspindle_forwarding/credentials.py
@@ -16,8 +16,6 @@
 from collections.abc import Sequence
 from typing import Final
 
-import attrs
-
 from berylspindle_forwarding.dialect import Dialect
 from berylspindle_forwarding.request_head import ForwardRequest
 from berylspindle_model.routing import Route, RoutingTable
@@ -75,7 +73,7 @@
     headers = [header for header in forward.forwarded_headers if header[0] not in dropped]
     if organisation is not None:
         headers.append((dialect.organisation, organisation.name.encode()))
-    return attrs.evolve(forward, forwarded_headers=tuple(headers), organisation=organisation)
+    return forward.with_organisation(organisation, tuple(headers))
 
 
 def accept_relayed(
@@ -85,4 +83,4 @@
     names = [value for name, value in forward.forwarded_headers if name == dialect.organisation]
     organisation = table.organisations.get(names[0].decode(errors="replace")) if names else None
     kept = tuple(header for header in forward.forwarded_headers if header[0] != AUTHORIZATION)
-    return attrs.evolve(forward, forwarded_headers=kept, organisation=organisation)
+    return forward.with_organisation(organisation, kept)
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -187,7 +187,6 @@
                 refusal = Refusal(ErrorKind.UNAUTHORISED, authenticated.value)
                 return self._refuse(refusal, forward, route, table_wait_ms=table_wait_ms)
             forward = authenticated
-            route = _with_priority(route, forward.organisation)
         routed = RoutedRequest(
             forward=forward,
             route=route,
@@ -226,7 +225,6 @@
             route = subset_route
         if table.requires_key:
             forward = accept_relayed(forward, table, self._context.dialect)
-            route = _with_priority(route, forward.organisation)
         routed = RoutedRequest(
             forward=forward,
             route=route,
@@ -442,13 +440,6 @@
     return attrs.evolve(route, shard_set=subset)
 
 
-def _with_priority(route: Route, organisation: Organisation | None) -> Route:
-    """Return the route with the priority of an organisation, if it has one."""
-    if organisation is None or organisation.priority in (None, route.priority):
-        return route
-    return attrs.evolve(route, priority=organisation.priority)
-
-
 def refusal_reply(refusal: Refusal, id_header: bytes, request_id: bytes) -> HttpResponse:
     """Return the response for a refusal, with the caller's request id."""
     headers: list[tuple[bytes, bytes]] = []
--- a/libs/forwarding/berylspindle_forwarding/request_head.py
+++ b/libs/forwarding/berylspindle_forwarding/request_head.py
@@ -66,6 +66,28 @@
     relayed: RelayInfo | None = None
     organisation: Organisation | None = None
 
+    def with_organisation(
+        self,
+        organisation: Organisation | None,
+        forwarded_headers: tuple[tuple[bytes, bytes], ...],
+    ) -> ForwardRequest:
+        """Return a copy with an organisation and other headers.
+
+        It is made once for each request; `attrs.evolve` takes twice as long.
+        """
+        return ForwardRequest(
+            method=self.method,
+            target=self.target,
+            host=self.host,
+            path=self.path,
+            request_id=self.request_id,
+            left_ms=self.left_ms,
+            forwarded_headers=forwarded_headers,
+            body=self.body,
+            relayed=self.relayed,
+            organisation=organisation,
+        )
+
 
 def read_forward(request: HttpRequest, dialect: Dialect) -> ForwardRequest:
     """Parse a raw request; invalid values of optional headers are ignored."""
--- a/libs/forwarding/berylspindle_forwarding/scatter_gather.py
+++ b/libs/forwarding/berylspindle_forwarding/scatter_gather.py
@@ -77,7 +77,9 @@
         self._route: Final = route
         self._request: Final = request
         self._times: Final = times
-        self._policy: Final = RouteAttemptPolicy(context, route, times, avoided)
+        self._policy: Final = RouteAttemptPolicy(
+            context, route, times, avoided, request.organisation
+        )
         no_replica_wait = self._policy.no_replica_wait_s()
         wait_until = context.now() + no_replica_wait
         self._hedged: Final = [
