--- a/libs/forwarding/berylspindle_forwarding/credentials.py
+++ b/libs/forwarding/berylspindle_forwarding/credentials.py
@@ -11,13 +11,13 @@
 
 from __future__ import annotations
 
-import enum
 import re
 from collections.abc import Sequence
 from typing import Final
 
 from berylspindle_forwarding.dialect import Dialect
 from berylspindle_forwarding.request_head import ForwardRequest
+from berylspindle_model.key_faults import KeyFault
 from berylspindle_model.routing import Route, RoutingTable
 
 AUTHORIZATION: Final = b"authorization"
@@ -27,23 +27,12 @@
 """The scheme in any case, and one token without spaces and control characters."""
 
 
-class KeyFault(enum.Enum):
-    """Reason why a request has no usable key."""
-
-    MISSING = "no key was sent"
-    DUPLICATED = "several authorization headers were sent"
-    MALFORMED = "the authorization header is not a bearer token"
-    UNKNOWN = "the key belongs to no organisation"
-
-
 def parse_key(values: Sequence[bytes]) -> str | KeyFault:
     """Return the key in the values of all authorization headers of a request, or the fault."""
     if not values:
         return KeyFault.MISSING
-    if len(values) > 1:
-        return KeyFault.DUPLICATED
     match = _BEARER.fullmatch(values[0].strip(b" \t"))
-    if match is None:
+    if match is None or len(values) > 1:
         return KeyFault.MALFORMED
     try:
         return match[1].decode()
--- a/libs/forwarding/berylspindle_forwarding/failure_cause.py
+++ b/libs/forwarding/berylspindle_forwarding/failure_cause.py
@@ -52,7 +52,6 @@
 _BY_KIND: Final = {
     ErrorKind.NOT_READY: Cause.NO_TABLE,
     ErrorKind.NOT_FOUND: Cause.NO_ROUTE,
-    ErrorKind.UNAUTHORISED: Cause.NO_VALID_KEY,
     ErrorKind.SHUTTING_DOWN: Cause.STOPPING,
     ErrorKind.CANCELLED: Cause.CALLER_LEFT,
     ErrorKind.QUARANTINED: Cause.CRASHES_REPLICAS,
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -21,7 +21,7 @@
 from berylspindle_decisions.response_timing import NEW_CONNECTION_MARGIN_MS, RESPONSE_MARGIN_MS
 from berylspindle_decisions.weighted_round_robin import WeightedRoundRobin
 from berylspindle_forwarding.attempt_policy import ForwardContext, RequestTimes
-from berylspindle_forwarding.credentials import KeyFault, accept_relayed, authenticate
+from berylspindle_forwarding.credentials import accept_relayed, authenticate
 from berylspindle_forwarding.dialect import Dialect
 from berylspindle_forwarding.relay import Relay, RelayPort, RelayTimes
 from berylspindle_forwarding.request_head import (
@@ -36,6 +36,7 @@
 from berylspindle_forwarding.scatter_gather import ScatterGather
 from berylspindle_forwarding.subset_call import SubsetCall
 from berylspindle_model.errors import ANSWERS, ErrorKind, Refusal
+from berylspindle_model.key_faults import KeyFault
 from berylspindle_model.routing import Organisation, Route, RoutingTable
 from berylspindle_telemetry import metric_names as names
 from berylspindle_wire.http import HttpRequest, HttpResponse
