--- a/tests/forwarding/test_organisations.py
+++ b/tests/forwarding/test_organisations.py
@@ -58,12 +58,22 @@
 
 @pytest.mark.parametrize(
     "values",
-    [[], ["Basic x"], ["Bearer nobody"], [f"Bearer {SECRET.upper()}"], [f"Bearer {SECRET}"] * 2],
+    [
+        [],
+        ["Basic x"],
+        ["Bearer nobody"],
+        ["Bearer s3cr3t-key-2"],
+        [f"Bearer {SECRET.upper()}"],
+        [f"Bearer {SECRET}"] * 2,
+    ],
 )
 async def test_request_without_a_valid_key_is_refused_at_once(
     site: Site, values: list[str], log: io.StringIO
 ) -> None:
     """Guard against requests of unknown callers, and keys in logs, metrics or responses."""
+    holders = tuple(Organisation(name=name, keys=("s3cr3t-key-2",)) for name in ("x", "y"))
+    publish(site, organisations=(ACME, *holders))
+    assert "organisations=x, y" in log.getvalue()
     keys = "".join(f"Authorization: {value}\r\n" for value in values)
     reader, writer = await asyncio.open_connection("127.0.0.1", site.server.port)
     writer.write(f"GET /booking/1 HTTP/1.1\r\nHost: {HOST}\r\n{keys}\r\n".encode())
