Divide the excess of a quota by the size of the limit, and adapt stock to the ask budget

With a third of the excess each, a hot organisation of 30 requests per second got 0.52 of its limit, and at usual demand a third of its requests was refused, since lent tokens count until an ask a second later shows them spent.

--- a/libs/decisions/berylspindle_decisions/quota_limits.py
+++ b/libs/decisions/berylspindle_decisions/quota_limits.py
@@ -6,9 +6,15 @@
 
 Terms:
   excess   what the bound allows beyond the refill of a window and `ARRIVAL_LAG_S`
-  depth    a third of the excess. The parts are the owner's bucket with the tokens lent out of it,
-           the initial level of a successor's bucket, and the standby of all borrowers with the
-           owner's reserve for it.
+  depth    the owner's bucket with the tokens lent out of it
+  standby  what all borrowers may hold for the time when they are out of touch, with the owner's
+           reserve for it
+  initial  the level with which a successor of an owner starts
+
+The excess is divided into depth, standby and initial level; the latter two are equal. Lent tokens
+count until an ask shows them spent, about a second later, so the depth has to hold more than a
+second of the rate: with a third of the excess, an organisation of 30 requests per second got 0.52
+of its limit. Small limits leave more for standby, of which each data centre needs a few tokens.
 
 Flow: `quota_limit` is called for each version of the configuration; its result sets the limits of
 `QuotaOwner` and `TokenPool`.
@@ -22,7 +28,14 @@
 
 # Time between the spending of a token and the arrival of its request at a replica.
 ARRIVAL_LAG_S: Final = 0.2
-EXCESS_PARTS: Final = 3
+# The depth covers the lag of `DEPTH_LAG_S` seconds and `DEPTH_SPARE` tokens, within these shares of
+# the excess.
+DEPTH_LAG_S: Final = 1.25
+DEPTH_SPARE: Final = 5.0
+DEPTH_SHARE_MIN: Final = 0.45
+DEPTH_SHARE_MAX: Final = 0.66
+# With less excess the initial level or the standby would be less than one token.
+EXCESS_MIN: Final = 6.0
 
 # Time for which lent tokens may be spent, in seconds from the ask.
 TOKEN_TTL_S: Final = 1.5
@@ -35,7 +48,7 @@
 # Seconds after the receipt of a grant from which the standby rate accrues. The owner knows that a
 # grant arrived only from the next ask, about a second later. With less than two seconds and some
 # delay, the owner would withhold the standby rates of borrowers that are in touch.
-STANDBY_BEGIN_S: Final = 2.5
+STANDBY_BEGIN_S: Final = 2.25
 # Share of the rate that all standby rates together may use.
 STANDBY_SHARE: Final = 0.4
 
@@ -55,10 +68,22 @@
 
 @attrs.frozen
 class QuotaLimit:
-    """Token bucket of an organisation: `rate` in tokens per second and `depth` in tokens."""
+    """Token bucket of an organisation.
+
+    Attributes:
+        rate: in tokens per second.
+        depth: of the owner's bucket, in tokens.
+        standby: tokens of all standby buckets together.
+    """
 
     rate: float
     depth: float
+    standby: float
+
+    @property
+    def initial(self) -> float:
+        """Return the level with which a successor starts, in tokens."""
+        return self.standby
 
 
 def quota_limit(rate: float, burst: float, bounds: QuotaBounds) -> QuotaLimit | None:
@@ -71,6 +96,8 @@
         return None
     allowed = bounds.allowed(rate, burst)
     window_s = bounds.window_s + ARRIVAL_LAG_S
-    # The depth holds at least one token, as no request could be admitted otherwise.
-    rate = min(rate, max(0.0, allowed - EXCESS_PARTS) / window_s)
-    return QuotaLimit(rate, (allowed - rate * window_s) / EXCESS_PARTS)
+    rate = min(rate, max(0.0, allowed - EXCESS_MIN) / window_s)
+    excess = allowed - rate * window_s
+    depth = max(DEPTH_SHARE_MIN * excess, DEPTH_LAG_S * rate + DEPTH_SPARE)
+    depth = min(DEPTH_SHARE_MAX * excess, depth)
+    return QuotaLimit(rate, depth, (excess - depth) / 2)
--- a/libs/decisions/berylspindle_decisions/quota_owner.py
+++ b/libs/decisions/berylspindle_decisions/quota_owner.py
@@ -14,14 +14,14 @@
 
 Flow: `lend` answers each ask; `set_limit` is called for a new version of the configuration.
 
-Invariants: `level + outstanding <= depth` and `reserve + sizes of all standby buckets <= depth`.
+Invariants: `level + outstanding <= depth` and `reserve + sizes of all standby buckets <= standby`.
 The refill of the bucket and of all standby buckets together is at most `rate`; what the full bucket
-does not take flows into the reserve. So at any time at most `2 x depth` tokens exist, and in a
-window at most `2 x depth + rate x window` are spent. A successor adds one `depth`: its reserve is
+does not take flows into the reserve. So at any time at most `depth + standby` tokens exist, and in
+a window at most these and `rate x window` are spent. A successor adds `initial`: its reserve is
 empty, and while it is fresh it renews standby only up to what borrowers state, since the
-predecessor's standby that it does not know of is part of the same `depth`. The tokens that the
-predecessor lent are spent within `TOKEN_TTL_S`, so the bound holds for windows before which, for
-that time, and in which there is at most one change of the owner.
+predecessor's standby that it does not know of is part of the same whole. For `TOKEN_TTL_S` its
+bucket holds no more than `initial`, as tokens of the predecessor may be unspent. The bound holds
+for windows in which, and for `TOKEN_TTL_S` before which, there is at most one change of the owner.
 
 Uncertainty: an ask does not tell whether its answer will arrive. Until the next ask confirms a
 grant, a borrower counts with the larger standby of both cases, and with the earlier begin.
@@ -34,7 +34,7 @@
 
 import attrs
 
-from berylspindle_decisions.lent_tokens import Borrower, LentTokens
+from berylspindle_decisions.lent_tokens import DEMAND_TIME_CONSTANT_S, Borrower, LentTokens
 from berylspindle_decisions.quota_limits import (
     STANDBY_BEGIN_S,
     STANDBY_SHARE,
@@ -47,13 +47,21 @@
 
 # Largest share of all standby for one borrower, so that the first one leaves some to the others.
 STANDBY_BORROWER_SHARE_MAX: Final = 0.5
+# Part of the standby that is divided evenly: the demand of a small organisation is zero between its
+# requests, and its borrowers would lose their standby to the one that had the last request.
+STANDBY_EVEN_SHARE: Final = 0.5
+# Length in seconds of the cut-offs that standby tokens and the standby rate together are sized for.
+CUT_OFF_S: Final = 6.0
+# Demand as a share of the rate below which withheld standby rates leave enough to all.
+LOW_USE: Final = 0.2
 # Time constant of the demand that standby is divided by, in seconds: longer than a cut-off begins
 # to change the demand, shorter than a working day's shifts between data centres.
-STANDBY_DEMAND_S: Final = 10.0
-# Standby is taken back from a borrower only if it exceeds its share by more than this, as demand
-# fluctuates and each move keeps tokens unusable until it is confirmed.
+STANDBY_DEMAND_S: Final = 20.0
+# While the reserve has tokens for the others, standby is taken back from a borrower only if it
+# exceeds its share by this factor: demand fluctuates, and each move keeps tokens unusable until it
+# is confirmed.
 TAKE_BACK_FACTOR: Final = 1.5
-# Refill that a grant may count on beside the level, in seconds: borrowers ask once a second.
+# Longest refill, in seconds, that a grant counts on beside the level. Borrowers ask once a second.
 ASK_INTERVAL_S: Final = 1.0
 
 
@@ -98,6 +106,7 @@
         "_level",
         "_limit",
         "_reserve",
+        "_shallow_until",
         "_standby",
     )
 
@@ -109,9 +118,10 @@
         self._limit = limit
         self._lent: Final = LentTokens(now)
         self._standby: Final[list[_Standby]] = []
-        self._level = limit.depth
-        self._reserve = 0.0 if is_fresh else limit.depth
+        self._level = limit.initial if is_fresh else limit.depth
+        self._reserve = 0.0 if is_fresh else limit.standby
         self._fresh_until = now + STANDBY_TTL_S if is_fresh else now
+        self._shallow_until = now + TOKEN_TTL_S if is_fresh else now
         self._advanced_at = now
 
     @property
@@ -142,7 +152,7 @@
             now >= self._fresh_until
             and self._lent.is_empty
             and self._level >= self._limit.depth
-            and self._reserve >= self._limit.depth
+            and self._reserve >= self._limit.standby
         )
 
     def lend(self, now: float, ask: QuotaAsk) -> QuotaGrant | None:
@@ -153,7 +163,7 @@
         if borrower is None:
             return None
         self._drop_ended()
-        tokens = self._share(now, ask)
+        tokens = self._share(now, ask, borrower)
         self._level -= tokens
         waiting = min(tokens, max(0, ask.waiting))
         standby = self._grant_standby(now, ask, borrower)
@@ -167,7 +177,7 @@
             standby_tokens=standby.granted_size,
             standby_ttl_ms=int(STANDBY_TTL_S * 1000),
             limit_rate=self._limit.rate,
-            limit_depth=self._limit.depth,
+            limit_standby=self._limit.standby,
         )
 
     def set_limit(self, now: float, limit: QuotaLimit) -> None:
@@ -179,18 +189,18 @@
             return
         self._advance(now)
         rate_factor = min(1.0, limit.rate / self._limit.rate)
-        depth_factor = min(1.0, limit.depth / self._limit.depth)
+        standby_factor = min(1.0, limit.standby / self._limit.standby)
         for standby in self._standby:
             standby.rate *= rate_factor
             standby.granted_rate = standby.rate
-            standby.size *= depth_factor
+            standby.size *= standby_factor
             # Holders round down after each version that they see, and may have skipped some. So the
             # sizes are rounded up, and what was returned is not known.
             standby.granted_size = math.ceil(standby.size)
             standby.returned = 0
         self._limit = limit
-        self._level = max(0.0, min(self._level, limit.depth - self._lent.outstanding))
-        self._reserve = max(0.0, min(self._reserve, limit.depth - self._sizes()))
+        self._level = max(0.0, min(self._level, self._depth(now) - self._lent.outstanding))
+        self._reserve = max(0.0, min(self._reserve, limit.standby - self._sizes()))
 
     def _advance(self, now: float) -> None:
         # The bucket is filled up to each expiry with the tokens that were outstanding until then.
@@ -202,8 +212,9 @@
         self._refill(now)
 
     def _refill(self, now: float) -> None:
-        if self._advanced_at < self._fresh_until < now:
-            self._refill_evenly(self._fresh_until)
+        for turn in (self._shallow_until, self._fresh_until):
+            if self._advanced_at < turn < now:
+                self._refill_evenly(turn)
         self._refill_evenly(now)
 
     def _refill_evenly(self, now: float) -> None:
@@ -211,7 +222,7 @@
         if now <= start:
             return
         self._advanced_at = now
-        rate, depth = self._limit.rate, self._limit.depth
+        rate, depth = self._limit.rate, self._depth(now)
         if now <= self._fresh_until:
             # The reserve stays as it is: the standby that the predecessor granted may fill its
             # depth, and this owner knows only of the borrowers that have asked.
@@ -221,32 +232,36 @@
         withheld = sum(standby.withheld(start, now) for standby in self._standby)
         level = self._level + max(0.0, rate * (now - start) - withheld)
         self._level = max(0.0, min(level, depth - self._lent.outstanding))
-        room = max(0.0, depth - self._sizes())
+        room = max(0.0, self._limit.standby - self._sizes())
         self._reserve = min(self._reserve + max(0.0, level - self._level), room)
 
+    def _depth(self, now: float) -> float:
+        return self._limit.depth if now > self._shallow_until else self._limit.initial
+
     def _sizes(self) -> float:
         return sum(standby.size for standby in self._standby)
 
-    def _share(self, now: float, ask: QuotaAsk) -> int:
+    def _share(self, now: float, ask: QuotaAsk, borrower: Borrower) -> int:
         available = int(self._level)
         wanted = max(0, min(ask.wanted, available))
         demand = self._lent.demand(now)
         if demand <= 0.0 or self._level - wanted >= self._limit.depth / 2:
             return wanted
-        expected = self._level + self._limit.rate * ASK_INTERVAL_S
+        # The others ask as often as this one, so the refill since its last grant is for all.
+        interval_s = min(ASK_INTERVAL_S, now - borrower.granted_at)
+        expected = self._level + self._limit.rate * interval_s
         return min(wanted, max(1, int(expected * ask.demand / demand)))
 
     def _grant_standby(self, now: float, ask: QuotaAsk, borrower: Borrower) -> _Standby:
         standby, left = self._apply_statement(now, ask, borrower)
-        weights = sum(one.weight for one in self._standby)
-        share = standby.weight / weights if weights > 0.0 else 0.0
-        share = min(share, STANDBY_BORROWER_SHARE_MAX)
+        share = self._standby_share(standby)
         is_fresh = now < self._fresh_until
         size, rate = standby.size, standby.rate
 
-        target = int(self._limit.depth * share)
+        target = math.ceil(self._limit.standby * share)
         granted = min(int(size), max(left, target)) if left < target else left
-        if left > TAKE_BACK_FACTOR * target:
+        is_short = self._reserve < 1.0 and left > target
+        if is_short or left > TAKE_BACK_FACTOR * target:
             granted = target
         elif is_fresh:
             granted = left
@@ -266,6 +281,10 @@
         others = sum(one.rate for one in self._standby) - rate
         room = max(0.0, STANDBY_SHARE * self._limit.rate - others)
         standby.granted_rate = min(STANDBY_SHARE * self._limit.rate * share, room)
+        if sum(one.weight for one in self._standby) > LOW_USE * self._limit.rate:
+            # The withheld rate is lost to the others, so a borrower gets no more than it would use.
+            needed = max(0.0, standby.weight - granted / CUT_OFF_S)
+            standby.granted_rate = min(standby.granted_rate, needed)
         if is_fresh:
             stated = max(0.0, ask.standby_rate)
             standby.granted_rate = min(standby.granted_rate, rate, stated)
@@ -274,6 +293,13 @@
         standby.begin_basis = min(standby.begin_basis, now)
         return standby
 
+    def _standby_share(self, standby: _Standby) -> float:
+        weights = sum(one.weight for one in self._standby)
+        by_demand = standby.weight / weights if weights > 0.0 else 0.0
+        even = 1.0 / len(self._standby)
+        share = STANDBY_EVEN_SHARE * even + (1.0 - STANDBY_EVEN_SHARE) * by_demand
+        return min(share, STANDBY_BORROWER_SHARE_MAX)
+
     def _apply_statement(
         self, now: float, ask: QuotaAsk, borrower: Borrower
     ) -> tuple[_Standby, int]:
@@ -294,7 +320,10 @@
             self._reserve = max(0.0, self._reserve + returned)
         standby.returned = 0
         past = math.exp(max(-1e3, (standby.weighed_at - now) / STANDBY_DEMAND_S))
-        standby.weight = standby.weight * past + ask.demand * (1.0 - past)
+        # Asks are sent when requests wait, so these are left out: the demand that is stated just
+        # after a request of a small organisation is several times its mean.
+        demand = max(0.0, ask.demand - ask.waiting / DEMAND_TIME_CONSTANT_S)
+        standby.weight = standby.weight * past + demand * (1.0 - past)
         standby.weighed_at = now
         return standby, max(0, min(ask.standby_tokens, int(standby.size)))
 
--- a/libs/decisions/berylspindle_decisions/token_pool.py
+++ b/libs/decisions/berylspindle_decisions/token_pool.py
@@ -14,9 +14,10 @@
 Flow on a VM: `on_request` and `take` for each request; without a token `next_ask`, then `on_grant`
 or `on_failure`, then `take` again for each waiting request, as the tokens are in the pool now. A
 lender answers the asks of VMs by `lend`. If the grant has fewer tokens than requests wait, it calls
-`next_ask` with the number of those without a token, and `lend_more` after `on_grant`. Every pool
-that has state gets `next_ask` with `waiting=0` about twice a second, which refills a stock before
-it is empty and renews the standby of a lender in use.
+`next_ask` with the number of those without a token, and `lend_more` after `on_grant`. The lender on
+the owner's VM, where an ask is no message, does so if the grant has fewer tokens than wanted. Every
+pool that has state gets `next_ask` with `waiting=0` about twice a second, which renews the standby
+of a lender in use.
 
 Times err on the safe side: tokens and standby end counted from when the ask was sent, and the
 standby rate begins counted from the receipt of the grant. `now` must include suspension.
@@ -40,8 +41,10 @@
 
 ASKS_PER_S: Final = 1.0
 ASK_BURST: Final = 3.0
-# A stock covers the demand of this time, in seconds.
+# A stock covers the demand of this time, in seconds, and for each ask that the budget lacks some
+# standard deviations of that demand: with few asks left, fluctuation must be covered by stock.
 STOCK_S: Final = 1.0
+STOCK_DEVIATIONS: Final = 1.2
 # A lender in use renews its standby well before it ends; two renewals may be lost.
 RENEW_S: Final = STANDBY_TTL_S / 3
 # An organisation is at rest on a VM this many seconds after its last request. A small one sends a
@@ -73,6 +76,7 @@
         "_in_flight",
         "_incarnation",
         "_is_out_of_touch",
+        "_is_scarce",
         "_lent",
         "_limit",
         "_organisation",
@@ -88,9 +92,11 @@
         "_standby_level",
         "_standby_rate",
         "_standby_size",
+        "_unfilled",
         "_used_at",
         "_vm",
         "_waiting",
+        "_wanted",
     )
 
     def __init__(
@@ -115,6 +121,11 @@
         self._in_flight = 0
         self._sent_at = -math.inf
         self._waiting = 0
+        self._wanted = 0
+        # Stock that VMs wanted and did not get since the last ask.
+        self._unfilled = 0
+        # Whether the last grant had fewer tokens than wanted.
+        self._is_scarce = False
         self._retry_at = -math.inf
         self._batches: list[_Batch] = []
         self._lent: LentTokens | None = None
@@ -128,8 +139,8 @@
         self._standby_at = -math.inf
         self._standby_begin = math.inf
         self._standby_end = -math.inf
-        # The limit to which the standby is scaled.
-        self._scaled_to = limit
+        # Rate and standby of the limit to which the standby is scaled.
+        self._scaled_to = (limit.rate, limit.standby)
         self._spent_since_ask = 0
         # Expiry and number of standby tokens that VMs got for waiting requests.
         self._handed: list[tuple[float, int]] = []
@@ -203,20 +214,22 @@
             return None
         here = self._here(now)
         demand = self.demand(now)
-        # The waiting requests are counted in the demand. They have their own tokens; a single
-        # request in a long time would otherwise ask for a second one that expires unspent.
-        further = max(0.0, demand - waiting / DEMAND_TIME_CONSTANT_S)
-        stock = math.floor(further * STOCK_S + 0.5)
-        if waiting <= 0 and not self._needs_stock(here, stock) and not self._needs_renewal(now):
+        is_needed = waiting > 0 or (self._unfilled > 0 and math.isinf(self._asks_per_s))
+        if not is_needed and not self._needs_renewal(now):
             return None
         if not self._spend_ask(now):
             return None
+        # The waiting requests are counted in the demand. They have their own tokens; a single
+        # request in a long time would otherwise ask for a second one that expires unspent.
+        stock = self._stock(max(0.0, demand - waiting / DEMAND_TIME_CONSTANT_S))
         self._accrue_standby(now)
         handed = sum(count for _, count in self._handed)
         self._sequence += 1
         self._in_flight = self._sequence
         self._sent_at = now
         self._waiting = waiting
+        self._wanted = waiting + max(0, stock - here) + self._unfilled
+        self._unfilled = 0
         self._spent_since_ask = handed
         return QuotaAsk(
             organisation=self._organisation,
@@ -229,7 +242,7 @@
             standby_tokens=math.floor(self._standby_level) + handed,
             demand=demand,
             waiting=waiting,
-            wanted=waiting + max(0, stock - here),
+            wanted=self._wanted,
         )
 
     def on_grant(self, now: float, sequence: int, grant: QuotaGrant) -> None:
@@ -239,12 +252,13 @@
         self._in_flight = 0
         self._received = sequence
         self._is_out_of_touch = False
+        self._is_scarce = grant.tokens < self._wanted
         waiting = min(grant.tokens, self._waiting)
         ttl_s = grant.ttl_ms / 1000
         self._add(now, self._sent_at + min(WAITING_SPEND_S, ttl_s), waiting, is_waiting=True)
         self._add(now, self._sent_at + ttl_s, grant.tokens - waiting, is_waiting=False)
         self._replace_standby(now, grant)
-        if waiting < self._waiting:
+        if waiting < self._waiting and not math.isinf(self._asks_per_s):
             # A larger part of the demand that was granted makes further tokens likely sooner.
             missing = (self._waiting - waiting) / max(1, grant.tokens)
             self._retry_at = now + min(RETRY_MAX_S, RETRY_MIN_S * missing)
@@ -275,7 +289,7 @@
         """Replace the limit of this VM's table; a lower one scales the standby down."""
         self._accrue_standby(now)
         self._limit = limit
-        self._scale_standby(self._scaled_to)
+        self._scale_standby(*self._scaled_to)
 
     def _here(self, now: float) -> int:
         while self._batches and self._batches[0].expiry <= now:
@@ -303,8 +317,12 @@
             if batch.count == 0:
                 del self._batches[0]
 
-    def _needs_stock(self, here: int, stock: int) -> bool:
-        return stock > 1 and here * 2 < stock
+    def _stock(self, demand: float) -> int:
+        if math.isinf(self._asks_per_s):
+            return 0
+        mean = demand * STOCK_S
+        missing = min(ASK_BURST - 1.0, ASK_BURST - 1.0 - self._ask_budget)
+        return math.floor(mean + STOCK_DEVIATIONS * missing * math.sqrt(mean))
 
     def _needs_renewal(self, now: float) -> bool:
         is_holder = now < self._standby_end
@@ -330,16 +348,16 @@
         self._standby_begin = now + STANDBY_BEGIN_S
         self._standby_end = self._sent_at + grant.standby_ttl_ms / 1000
         if grant.limit_rate > 0.0:
-            self._scale_standby(QuotaLimit(grant.limit_rate, grant.limit_depth))
+            self._scale_standby(grant.limit_rate, grant.limit_standby)
 
-    def _scale_standby(self, granted: QuotaLimit) -> None:
-        rate = min(granted.rate, self._limit.rate)
-        depth = min(granted.depth, self._limit.depth)
-        self._standby_rate *= rate / granted.rate
-        size = math.floor(self._standby_size * (depth / granted.depth))
+    def _scale_standby(self, granted_rate: float, granted_standby: float) -> None:
+        rate = min(granted_rate, self._limit.rate)
+        standby = min(granted_standby, self._limit.standby)
+        self._standby_rate *= rate / granted_rate
+        size = math.floor(self._standby_size * (standby / granted_standby))
         self._standby_level -= self._standby_size - size
         self._standby_size = size
-        self._scaled_to = QuotaLimit(rate, depth)
+        self._scaled_to = (rate, standby)
 
     def _accrue_standby(self, now: float) -> None:
         if now >= self._standby_end:
@@ -384,9 +402,15 @@
         stock_batches = [batch for batch in usable if batch.count and not batch.is_waiting]
         available = sum(batch.count for batch in stock_batches)
         for_stock = min(wanted, available)
-        demand = self.demand(now)
-        if wanted * 2 > available and demand > 0.0:
-            for_stock = min(for_stock, int(available * ask.demand / demand))
+        if self._is_scarce:
+            # The waiting tokens are a part of the VM's share. They are soon known to be spent, so
+            # the owner can lend their successors; stock counts until the VM asks again.
+            share = self._share_of(now, ask)
+            given = grant.tokens + for_waiting
+            for_stock = min(for_stock, max(0, int((available + given) * share) - given))
+            self._unfilled = max(self._unfilled, int((wanted - for_stock) * share))
+        else:
+            self._unfilled += wanted - for_stock
         ttl_ms = int((stock_batches[0].expiry - now) * 1000) if for_stock else grant.ttl_ms
         for_stock = self._draw_from(stock_batches, for_stock)
         self._batches = [batch for batch in self._batches if batch.count]
@@ -404,6 +428,10 @@
             ttl_ms = min(ttl_ms, grant.ttl_ms)
         return QuotaGrant(tokens=grant.tokens + for_waiting + for_stock, ttl_ms=ttl_ms)
 
+    def _share_of(self, now: float, ask: QuotaAsk) -> float:
+        demand = self.demand(now)
+        return min(1.0, ask.demand / demand) if demand > 0.0 else 0.0
+
     def _draw_from(self, batches: list[_Batch], count: int) -> int:
         drawn = 0
         for batch in batches:
--- a/libs/model/berylspindle_model/quota_messages.py
+++ b/libs/model/berylspindle_model/quota_messages.py
@@ -71,7 +71,7 @@
         standby_ttl_ms: time for which the standby may be used.
         limit_rate: rate of the limit from which the standby was computed, in tokens per second; a
             borrower whose own limit is lower scales its standby down.
-        limit_depth: bucket depth of that limit, in tokens.
+        limit_standby: standby tokens of that limit for all borrowers together.
     """
 
     tokens: int
@@ -80,7 +80,7 @@
     standby_tokens: int = 0
     standby_ttl_ms: int = 0
     limit_rate: float = 0.0
-    limit_depth: float = 0.0
+    limit_standby: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
