Name the causes of refusals for a key or an organisation's quota

A 401, a 429 and a 503 for an unknown quota have no attempt, so that their log lines and counters would name no_usable_replica. Each gets a cause of its own: a missing, malformed or unknown key by the detail of the refusal (KeyFault), and the quota kinds by their names, as the kinds are not in ErrorKind yet. explain also prints organisation, rate and burst where the line has them.

--- a/libs/cli/berylspindle_cli/log_lines.py
+++ b/libs/cli/berylspindle_cli/log_lines.py
@@ -29,6 +29,9 @@
 _INPUT_FIELDS: Final = (
     "result",
     "run_state",
+    "organisation",
+    "rate",
+    "burst",
     "ms",
     "left_ms",
     "aim_ms",
--- a/libs/forwarding/berylspindle_forwarding/failure_cause.py
+++ b/libs/forwarding/berylspindle_forwarding/failure_cause.py
@@ -21,6 +21,7 @@
 from berylspindle_forwarding.request_trace import RequestTrace, Step, StepKind
 from berylspindle_model.causes import Cause
 from berylspindle_model.errors import ErrorKind, Refusal
+from berylspindle_model.key_faults import KeyFault
 from berylspindle_wire.exchange import ExchangeFailureKind
 
 LITTLE_TIME_FACTOR: Final = 2.0
@@ -49,12 +50,20 @@
     usual_ms: float
 
 
-_BY_KIND: Final = {
+_BY_KIND: Final[dict[str, Cause]] = {
     ErrorKind.NOT_READY: Cause.NO_TABLE,
     ErrorKind.NOT_FOUND: Cause.NO_ROUTE,
     ErrorKind.SHUTTING_DOWN: Cause.STOPPING,
     ErrorKind.CANCELLED: Cause.CALLER_LEFT,
     ErrorKind.QUARANTINED: Cause.CRASHES_REPLICAS,
+    "quota_exceeded": Cause.QUOTA_EXCEEDED,
+    "quota_unknown": Cause.QUOTA_UNKNOWN,
+}
+
+_BY_KEY_FAULT: Final[dict[str, Cause]] = {
+    KeyFault.MISSING: Cause.KEY_MISSING,
+    KeyFault.MALFORMED: Cause.KEY_MALFORMED,
+    KeyFault.UNKNOWN: Cause.KEY_UNKNOWN,
 }
 
 _BY_VERDICT: Final = {
@@ -71,6 +80,8 @@
     outcome = facts.outcome
     if isinstance(outcome, Refusal) and outcome.kind in _BY_KIND:
         return _BY_KIND[outcome.kind]
+    if isinstance(outcome, Refusal) and outcome.kind is ErrorKind.UNAUTHORISED:
+        return _BY_KEY_FAULT.get(outcome.detail, Cause.KEY_UNKNOWN)
     if trace is None:
         return Cause.NO_USABLE_REPLICA
     if trace.merger:
--- a/libs/model/berylspindle_model/causes.py
+++ b/libs/model/berylspindle_model/causes.py
@@ -39,6 +39,11 @@
     CALLER_LEFT = "caller_left"
     MERGER_LOST = "merger_lost"
     CRASHES_REPLICAS = "crashes_replicas"
+    KEY_MISSING = "key_missing"
+    KEY_MALFORMED = "key_malformed"
+    KEY_UNKNOWN = "key_unknown"
+    QUOTA_EXCEEDED = "quota_exceeded"
+    QUOTA_UNKNOWN = "quota_unknown"
 
 
 @attrs.frozen
@@ -134,4 +139,24 @@
         "the request is quarantined for a while: replicas that ran it before have crashed",
         "'request crashes replicas' in any VM's log; the request and its caller",
     ),
+    Cause.KEY_MISSING: CauseText(
+        "the request had no API key, and its route is not public",
+        "whether the caller sends 'Authorization: Bearer KEY'; whether the route should be public",
+    ),
+    Cause.KEY_MALFORMED: CauseText(
+        "the request's Authorization header is not one Bearer key",
+        "the caller: one header, the scheme Bearer and one key; a proxy that adds a second header",
+    ),
+    Cause.KEY_UNKNOWN: CauseText(
+        "no organisation holds the request's key, or more than one does",
+        "the table version in the line against the one with the key; the warning on shared keys",
+    ),
+    Cause.QUOTA_EXCEEDED: CauseText(
+        "the organisation's requests on all VMs together are beyond its limit; not run",
+        "the organisation in 'berylspindle quotas': use against limit; the caller has to send less",
+    ),
+    Cause.QUOTA_UNKNOWN: CauseText(
+        "neither lender nor owner of the organisation answered, and no standby was left; not run",
+        "owner and lender in 'berylspindle quotas --organisation': whether the VM reaches them",
+    ),
 }
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -10,6 +10,7 @@
 
 from berylspindle_cli.exit_codes import ExitCode
 from berylspindle_cli.main import run
+from berylspindle_model.causes import CAUSES, Cause
 from berylspindle_model.stamps import Stamp
 
 
@@ -87,3 +88,28 @@
     assert "no log line of request unknown" in out
     code, _ = run_explain(capsys, "abc", str(tmp_path / "missing"))
     assert code == ExitCode.USAGE
+
+
+@pytest.mark.parametrize(
+    ("cause", "result", "shown"),
+    [
+        ("key_missing", "unauthorised", "detail=no key"),
+        ("key_malformed", "unauthorised", "detail=malformed key"),
+        ("key_unknown", "unauthorised", "detail=unknown key"),
+        ("quota_exceeded", "quota_exceeded", "organisation=acme, rate=30.0, burst=30.0"),
+        ("quota_unknown", "quota_unknown", "organisation=acme"),
+    ],
+)
+def test_the_cause_of_a_refused_organisation_is_named(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], cause: str, result: str, shown: str
+) -> None:
+    """Guard against a 401, 429 or quota 503 whose cause has to be guessed."""
+    fields = {"request": "r1", "cause": cause, "result": result, "run_state": "not_run"}
+    about = dict(part.split("=") for part in shown.split(", "))
+    file = tmp_path / "log"
+    file.write_text(line(9_000, "request", "refused", **fields, **about))
+    code, out = run_explain(capsys, "r1", str(file))
+    assert code == ExitCode.OK
+    assert f"cause: {cause}: {CAUSES[Cause(cause)].meaning}" in out
+    assert f"look at: {CAUSES[Cause(cause)].look_at}" in out
+    assert shown in out
