--- a/libs/cli/berylspindle_cli/main.py
+++ b/libs/cli/berylspindle_cli/main.py
@@ -21,6 +21,7 @@
 from berylspindle_cli.exit_codes import ExitCode
 from berylspindle_cli.explain_command import explain
 from berylspindle_cli.plan_commands import confirm, import_, plan
+from berylspindle_cli.quotas_command import quotas
 from berylspindle_cli.settings import ENV_PREFIX, TOKEN_ENV, ToolError
 from berylspindle_cli.status_command import status
 from berylspindle_cli.timeline_command import timeline
@@ -66,6 +67,7 @@
         status,
         timeline,
         explain,
+        quotas,
         configuration,
     ):
         app.command(command)
