--- a/libs/cli/berylspindle_cli/quotas_command.py
+++ b/libs/cli/berylspindle_cli/quotas_command.py
@@ -188,6 +188,8 @@
 
 
 def _lenders_text(organisation: OrganisationReport) -> str:
+    if all(set(lenders) == {NO_VM} for lenders in organisation.lenders.values()):
+        return "-"
     return "; ".join(
         f"{centre}: {_vms_text(lenders)}" for centre, lenders in organisation.lenders.items()
     )
