--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from typing import Final
@@ -19,6 +18,7 @@
 from berylspindle_decisions.quarantine import FirstSeenPolicy, Quarantine, QuarantineOptions
 from berylspindle_decisions.reachability import Reachability
 from berylspindle_forwarding.attempt_policy import ForwardContext
+from berylspindle_forwarding.boot_clock import boot_time
 from berylspindle_forwarding.catalogue import Catalogue
 from berylspindle_forwarding.catalogue_changes import (
     CatalogueListener,
@@ -67,11 +67,6 @@
 """Time in seconds for which this VM counts as in use after a caller's request."""
 
 
-def boot_time() -> float:
-    """Return a time that includes the time in which the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Forwarder(CatalogueListener):
     """Forwarding on one VM; created by `open_forwarder`."""
 
--- a/libs/forwarding/berylspindle_forwarding/vm_announcer.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_announcer.py
@@ -23,15 +23,18 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
 import attrs
 
 from berylspindle_decisions.follower_count import FollowerCount
+from berylspindle_forwarding.boot_clock import boot_time
 from berylspindle_forwarding.catalogue_changes import VmEntry
 from berylspindle_model import codec
 from berylspindle_store.store import (
+    Lease,
     Store,
     StoreConflict,
     StoredValue,
@@ -58,6 +61,9 @@
 
 MIN_CAPACITY: Final = 0.25
 
+LEASE_MARGIN_S: Final = 1.0
+"""Seconds before the expiry of its lease from which on this VM does not rely on it any more."""
+
 MAX_MISMATCHED_RENEWALS: Final = 2
 """Consecutive renewals with a missing or different entry before it is written again: the entry is
 read from this VM's mirror, which lags a little behind the store."""
@@ -86,7 +92,9 @@
         on_failure: Callable[[str], None],
         is_watcher: Callable[[], bool],
         uniform: Callable[[], float],
+        clock: Callable[[], float] = boot_time,
     ) -> None:
+        self._clock: Final = clock
         self._is_watcher: Final = is_watcher
         self._entry: Final = entry
         self._followers: Final = followers
@@ -102,6 +110,8 @@
         self._lease: str | None = None
         self._ended_leases: set[str] = set()
         self._mismatched_renewals = 0
+        self._lease_valid_until = -math.inf
+        self._announced_at = -math.inf
 
     async def run(self) -> None:
         """Announce and renew until cancelled."""
@@ -124,6 +134,7 @@
     async def withdraw(self) -> None:
         """Revoke the lease, if any; a failure is reported and not retried."""
         lease, self._lease = self._lease, None
+        self._lease_valid_until = -math.inf
         if lease is None:
             return
         try:
@@ -136,6 +147,22 @@
         """Return whether this VM has an entry."""
         return self._lease is not None
 
+    @property
+    def lease_valid_until(self) -> float:
+        """Return the time of `clock` until which the store is certain to keep this VM's lease.
+
+        It counts from the time at which the last successful renewal was sent, less a margin.
+        """
+        return self._lease_valid_until
+
+    @property
+    def announced_at(self) -> float:
+        """Return the time of `clock` at which this process was last granted a new lease.
+
+        Minus infinity if it renews the lease of the previous process of this VM.
+        """
+        return self._announced_at
+
     async def _wait_until_needed(self) -> None:
         # Bigger VMs are announced first, so that smaller ones need not be.
         delay = NEED_CHECK_INTERVAL_S / max(MIN_CAPACITY, self._entry.bears)
@@ -188,7 +215,7 @@
             await self._renew(self._lease)
         elif (lease := self._inherited_lease()) is not None:
             self._lease = lease
-            await self._store.keep_alive(lease)
+            await self._keep_alive(lease)
         else:
             await self._announce()
 
@@ -212,13 +239,23 @@
 
     async def _announce(self) -> None:
         ttl = WATCHER_LEASE_S if self._is_watcher() else LEASE_S
+        sent = self._clock()
         lease = await self._store.grant_lease(ttl)
         await self._write(lease.id)
         self._lease = lease.id
+        self._announced_at = self._clock()
+        self._record_renewal(sent, lease)
         self._mismatched_renewals = 0
 
+    async def _keep_alive(self, lease: str) -> None:
+        sent = self._clock()
+        self._record_renewal(sent, await self._store.keep_alive(lease))
+
+    def _record_renewal(self, sent: float, lease: Lease) -> None:
+        self._lease_valid_until = sent + lease.ttl - LEASE_MARGIN_S
+
     async def _renew(self, lease: str) -> None:
-        await self._store.keep_alive(lease)
+        await self._keep_alive(lease)
         entry = self._stored_entry()
         if entry is not None and self._decode_own(entry) is not None and entry.lease in ("", lease):
             self._mismatched_renewals = 0
@@ -234,6 +271,7 @@
         if self._lease is not None:
             self._ended_leases.add(self._lease)
         self._lease = None
+        self._lease_valid_until = -math.inf
 
     async def _write(self, lease: str) -> None:
         self._written_followers = self._followers.count(_now())
