Add error kinds for quotas and a switch for lending tokens

Requests over the quota get 429 and may be sent again later; a VM that cannot know answers 503.

tests/model and tests/decisions/test_forward_policy.py pass.

--- a/libs/decisions/berylspindle_decisions/forward_policy.py
+++ b/libs/decisions/berylspindle_decisions/forward_policy.py
@@ -54,6 +54,8 @@
     shares_losses: bool = True
     # Wait for a usable replica. If disabled, a request without one fails at once.
     wait_for_replica: bool = True
+    # Lend the tokens of quotas to the VMs that need them. If disabled, each VM has an even share.
+    lends_tokens: bool = True
 
 
 def parse_policy(text: str) -> ForwardPolicy:
--- a/libs/model/berylspindle_model/errors.py
+++ b/libs/model/berylspindle_model/errors.py
@@ -43,6 +43,8 @@
     SHUTTING_DOWN = "shutting_down"
     OVERLOADED = "overloaded"
     CALLER_OVER_SHARE = "caller_over_share"
+    QUOTA_EXCEEDED = "quota_exceeded"
+    QUOTA_UNKNOWN = "quota_unknown"
     DATA_CENTRE_OUT = "data_centre_out"
     NO_REPLICA = "no_replica"
     SERVER_LEAVING = "server_leaving"
@@ -143,6 +145,12 @@
     ErrorKind.SHUTTING_DOWN: ErrorAnswer(503, _NOT_RUN, "this VM is shutting down", 0),
     ErrorKind.OVERLOADED: ErrorAnswer(503, _NOT_RUN, "the queue is full", 500),
     ErrorKind.CALLER_OVER_SHARE: ErrorAnswer(429, _NOT_RUN, "the caller is over its share", 500),
+    ErrorKind.QUOTA_EXCEEDED: ErrorAnswer(
+        429, _NOT_RUN, "the organisation's quota is used up", 1000
+    ),
+    ErrorKind.QUOTA_UNKNOWN: ErrorAnswer(
+        503, _NOT_RUN, "whether the organisation's quota is used up is not known", 300
+    ),
     ErrorKind.DATA_CENTRE_OUT: ErrorAnswer(503, _NOT_RUN, "this data centre is out of service", 0),
     ErrorKind.NO_REPLICA: ErrorAnswer(503, _NOT_RUN, "no backend server can take it now", 1000),
     ErrorKind.SERVER_LEAVING: ErrorAnswer(503, _NOT_RUN, "the backend server is leaving", 0),
