--- a/libs/decisions/berylspindle_decisions/log_rate_limiter.py
+++ b/libs/decisions/berylspindle_decisions/log_rate_limiter.py
@@ -30,6 +30,7 @@
     HEDGED = "hedged"
     SAMPLE = "sample"
     SUSPICION = "belief"
+    QUOTA = "quota"
 
 
 @attrs.frozen
@@ -47,6 +48,7 @@
     LineKind.HEDGED: LineRate(4.0, 8.0),
     LineKind.SAMPLE: LineRate(0.1, 1.0),
     LineKind.SUSPICION: LineRate(4.0, 40.0),
+    LineKind.QUOTA: LineRate(4.0, 40.0),
 }
 
 
--- a/libs/forwarding/berylspindle_forwarding/forward_daemon.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_daemon.py
@@ -74,7 +74,7 @@
         bound: socket that already listens on `callers`, or None to open one.
         ready: address of the balancer's readiness check, or None; its path is `ready_path`.
         metrics: address for reading metrics, or None; the path is `metrics_path`.
-        peers: address at which other VMs read this one's mirror, or None.
+        peers: address at which other VMs read this one's mirror and borrow quota tokens, or None.
         grace_s: seconds between the signal to stop and the end of the process.
         connections: maximum number of callers' connections.
     """
@@ -119,7 +119,7 @@
         self._forwarder.on_limits = self._set_limits
         self._forwarder.on_cut_off = self._callers.set_connection_close
         if self._edges.peers is not None:
-            await self._serve_edge(self._edges.peers, self._forwarder.mirror.handle)
+            await self._serve_edge(self._edges.peers, self._forwarder.handle_peer)
         if self._edges.ready is not None:
             await self._serve_edge(self._edges.ready, self._answer_ready)
         if self._edges.metrics is not None:
--- a/libs/forwarding/berylspindle_forwarding/forward_options.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_options.py
@@ -6,6 +6,7 @@
 
 from berylspindle_decisions.confirmed_span import DEFAULT_MAX_GAP_S
 from berylspindle_decisions.forward_policy import ForwardPolicy
+from berylspindle_decisions.quota_limits import QuotaBounds
 from berylspindle_decisions.rollout_plan import ExposureBounds
 from berylspindle_decisions.shared_retry_budget import SharedBudgetOptions
 from berylspindle_forwarding.dialect import Dialect
@@ -29,9 +30,7 @@
         suspects_prefix: key prefix of requests that crash replicas, or empty.
         callers_port: port where this VM accepts relayed requests, or 0.
         relay_port: whether that is the callers' port or a separate one.
-        quota_window_s: window in seconds in which an organisation's requests are bounded.
-        quota_overshoot: fraction by which its requests may exceed the quota in a window.
-        quota_slack: requests by which they may exceed it in addition.
+        quota: bounds on the requests of organisations, or None if quotas are not enforced.
         bears: capacity of this VM (`decisions.relay_choice`).
         first_start: whether all VMs of the system start for the first time.
         expected_vms: minimum number of VMs among which budgets and connections are divided.
@@ -54,9 +53,7 @@
     suspects_prefix: str = ""
     callers_port: int = 0
     relay_port: RelayPort = RelayPort.CALLERS
-    quota_window_s: float = 5.0
-    quota_overshoot: float = 0.1
-    quota_slack: float = 20.0
+    quota: QuotaBounds | None = None
     bears: float = 1.0
     first_start: bool = False
     expected_vms: int = 8
--- a/libs/forwarding/berylspindle_forwarding/forward_parts.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_parts.py
@@ -10,6 +10,10 @@
 from berylspindle_forwarding.catalogue_changes import VmEntry
 from berylspindle_forwarding.forward_options import ForwardOptions
 from berylspindle_forwarding.mirror import Mirror
+from berylspindle_forwarding.quota_admission import QuotaAdmission
+from berylspindle_forwarding.quota_owners import QuotaOwners
+from berylspindle_forwarding.quota_service import QuotaService
+from berylspindle_forwarding.quota_shares import EvenQuotaShares
 from berylspindle_forwarding.relay import Relay
 from berylspindle_forwarding.replica_registry import ReplicaRegistry
 from berylspindle_forwarding.rollout_controller import RolloutController
@@ -90,6 +94,37 @@
     )
 
 
+def make_quotas(
+    options: ForwardOptions,
+    vms: VmRegistry,
+    owners: QuotaOwners,
+    metrics: Metrics,
+    clock: Callable[[], float],
+) -> QuotaAdmission | None:
+    """Create what enforces quotas, or return None if the options have no bounds for them."""
+    if options.quota is None:
+        return None
+    if not options.policy.lends_tokens:
+        return EvenQuotaShares(
+            vm=options.vm,
+            data_centre=options.data_centre,
+            bounds=options.quota,
+            vms=lambda: vms.vm_count,
+            clock=clock,
+            metrics=metrics,
+            uniform=random.random,
+        )
+    return QuotaService(
+        vm=options.vm,
+        data_centre=options.data_centre,
+        bounds=options.quota,
+        owners=owners,
+        clock=clock,
+        metrics=metrics,
+        rng=random.Random(),
+    )
+
+
 def make_announcer(
     options: ForwardOptions,
     store: Store,
@@ -98,6 +133,7 @@
     *,
     listed: asyncio.Event,
     on_failure: Callable[[str], None],
+    clock: Callable[[], float],
 ) -> VmAnnouncer | None:
     """Create the announcer of this VM, or return None if it has no entry."""
     if not options.announce_key or options.peers is None:
@@ -121,4 +157,5 @@
         on_failure=on_failure,
         is_watcher=lambda: not vms.watchers(),
         uniform=random.random,
+        clock=clock,
     )
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from contextlib import AsyncExitStack
@@ -39,6 +40,7 @@
 from berylspindle_forwarding.forward_options import ForwardOptions
 from berylspindle_forwarding.forward_parts import (
     make_announcer,
+    make_quotas,
     make_registry,
     make_relay,
     make_rollout_controller,
@@ -46,6 +48,8 @@
 from berylspindle_forwarding.front import Front
 from berylspindle_forwarding.isolation_monitor import IsolationMonitor
 from berylspindle_forwarding.mirror import Mirror, pack_losses
+from berylspindle_forwarding.quota_admission import PATH_PREFIX
+from berylspindle_forwarding.quota_owners import QuotaOwners
 from berylspindle_forwarding.rollout_changes import apply_change, update_answer_metrics
 from berylspindle_forwarding.rollouts import Rollouts
 from berylspindle_forwarding.upstream_selector import UpstreamSelector
@@ -58,7 +62,7 @@
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.logs import logger
 from berylspindle_telemetry.metrics import Metrics
-from berylspindle_wire.http import HttpLimits
+from berylspindle_wire.http import HttpLimits, HttpRequest, HttpResponse
 
 SUSPECT_S: Final = 120.0
 """Time in seconds for which a request that crashed a replica is run on one shard first."""
@@ -127,8 +131,20 @@
             rollouts=self.rollouts,
         )
         self._relay: Final = make_relay(options, self.vms, self.registry, self._reach, metrics)
+        self._quota_owners: Final = QuotaOwners(
+            vm=options.vm,
+            data_centre=options.data_centre,
+            clock=clock,
+            lease_valid_until=lambda: self._lease_valid_until,
+            announced_at=lambda: self._announced_at,
+        )
+        self.quotas: Final = make_quotas(options, self.vms, self._quota_owners, metrics, clock)
         self.front: Final = Front(
-            self._context, self._relay, self._accepts_relayed, relay_port=options.relay_port
+            self._context,
+            self._relay,
+            self._accepts_relayed,
+            relay_port=options.relay_port,
+            admit_quota=self.quotas.admit if self.quotas is not None else None,
         )
         self._isolation_monitor: Final = IsolationMonitor(
             self._reach,
@@ -175,6 +191,7 @@
             self.mirror,
             listed=self._listed,
             on_failure=self._on_announce_failed,
+            clock=clock,
         )
         self._rollout_controller: Final = make_rollout_controller(
             options,
@@ -194,6 +211,20 @@
         """Return the header names and statuses in use."""
         return self._options.dialect
 
+    @property
+    def _lease_valid_until(self) -> float:
+        return self._announcer.lease_valid_until if self._announcer is not None else -math.inf
+
+    @property
+    def _announced_at(self) -> float:
+        return self._announcer.announced_at if self._announcer is not None else -math.inf
+
+    async def handle_peer(self, request: HttpRequest) -> HttpResponse:
+        """Answer a request of another VM on the peers' edge."""
+        if self.quotas is not None and request.path.startswith(PATH_PREFIX):
+            return await self.quotas.handle(request)
+        return await self.mirror.handle(request)
+
     def readiness_refusal(self) -> Refusal | None:
         """Return the reason why this VM is not ready for callers, or None if it is."""
         if self._shutting_down:
@@ -207,6 +238,8 @@
     def begin_shutdown(self) -> None:
         """Report not ready from now on; requests that still arrive are served."""
         self._shutting_down = True
+        if self.quotas is not None:
+            self.quotas.begin_shutdown()
 
     async def run(self) -> None:
         """Apply catalogue changes and keep this VM announced until cancelled."""
@@ -225,6 +258,8 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        if self.quotas is not None:
+            await self.quotas.close()
         await self._upstream_selector.close()
         await self._crashes.close()
         await self._isolation_monitor.close()
@@ -256,6 +291,7 @@
                 extra={"replicas": len(self.registry), "vms": len(self.vms)},
             )
         self._listed.set()
+        self._quota_owners.on_listed()
 
     def on_older_entry(self, entry: StoredValue, known_revision: int, *, from_mirror: bool) -> None:
         """Count an ignored entry, and log it if the store itself returned it."""
@@ -312,6 +348,8 @@
         self.table_version = change.table.version
         self._metrics.gauge(names.ROUTING_VERSION, change.table.version)
         self.registry.set_table(change.table)
+        if self.quotas is not None:
+            self.quotas.set_table(change.table)
         self.front.set_table(change.table)
         limits = change.table.limits
         self.on_limits(
@@ -362,6 +400,7 @@
 
     def _update_vm(self, change: VmChange) -> None:
         self.vms.apply(change)
+        self._quota_owners.apply(change)
         message = "VM announced" if change.vm is not None else "VM gone"
         self._log_entry(message, id=change.id, vms=len(self.vms))
 
--- a/libs/forwarding/berylspindle_forwarding/quota_owners.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_owners.py
@@ -97,6 +97,11 @@
         self._update(self._clock())
         return self._generation
 
+    @property
+    def addresses(self) -> frozenset[tuple[str, int]]:
+        """Return host and port of the peers' edges of all announced VMs."""
+        return frozenset((entry.host, entry.port) for entry in self._entries.values())
+
     def apply(self, change: VmChange) -> None:
         """Apply an announcement, or its deletion."""
         now = self._clock()
--- a/libs/forwarding/berylspindle_forwarding/vm_registry.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_registry.py
@@ -58,6 +58,11 @@
         """Return the divisor of cluster-wide limits, counted in VMs of this one's capacity."""
         return max(self._share_divisor, self._expected_vms)
 
+    @property
+    def vm_count(self) -> int:
+        """Return the number of VMs, including those without an entry."""
+        return max(1, sum(1 + vm.followers for vm in self._vms.values()))
+
     def apply(self, change: VmChange) -> None:
         """Apply an announcement, or its deletion."""
         if change.vm is not None:
--- a/libs/telemetry/berylspindle_telemetry/metric_names.py
+++ b/libs/telemetry/berylspindle_telemetry/metric_names.py
@@ -219,4 +219,27 @@
 ANNOUNCE_FAILED: Final = _counter(
     "announce_failed", "Failed calls to the store for this VM's own entry."
 )
+QUOTA_REQUESTS: Final = _counter(
+    "quota_requests",
+    "Requests of organisations with a quota, by result: admitted or an error kind.",
+    "organisation",
+    "result",
+)
+QUOTA_TOKENS: Final = _counter(
+    "quota_tokens",
+    "Quota tokens of an organisation, by use: spent by this VM, or lent to other VMs.",
+    "organisation",
+    "use",
+)
+QUOTA_CALLS: Final = _counter(
+    "quota_calls",
+    "Calls to other VMs for quota tokens, by role of the callee and result.",
+    "role",
+    "result",
+)
+QUOTA_STATE_AGE: Final = _gauge(
+    "quota_state_age_ms",
+    "Time since this VM was last granted tokens of an organisation.",
+    "organisation",
+)
 CUT_OFF: Final = _gauge("cut_off", "1 while this VM needs another data centre and can reach none.")
