--- a/libs/forwarding/berylspindle_forwarding/quota_service.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_service.py
@@ -37,11 +37,12 @@
 from berylspindle_telemetry.metrics import Metrics
 from berylspindle_wire.http import HttpRequest, HttpResponse
 
-SWEEP_INTERVAL_S: Final = 5.0
-"""Seconds between two searches for idle states."""
+UPKEEP_INTERVAL_S: Final = 0.5
+"""Seconds between two refills of all pools in use (`token_pool`), in which idle states are dropped
+as well."""
 
-SWEEP_BATCH: Final = 200
-"""States that are checked in one iteration of the event loop, in about a millisecond."""
+UPKEEP_BATCH: Final = 100
+"""States that are kept up in one iteration of the event loop, in about a millisecond."""
 
 
 class QuotaService(QuotaAdmission):
@@ -81,7 +82,7 @@
         )
         self._states: Final[dict[str, OrganisationState]] = {}
         self._tasks: Final[set[asyncio.Task[None]]] = set()
-        self._sweeper: asyncio.Task[None] | None = None
+        self._upkeep: asyncio.Task[None] | None = None
         self._is_shutting_down = False
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -108,7 +109,7 @@
 
     async def close(self) -> None:
         """End all tasks and close all connections."""
-        tasks = [*self._tasks, *([self._sweeper] if self._sweeper is not None else [])]
+        tasks = [*self._tasks, *([self._upkeep] if self._upkeep is not None else [])]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -125,8 +126,8 @@
             else:
                 state.close()
                 self._drop(name)
-        if self._limits and self._sweeper is None:
-            self._sweeper = asyncio.get_running_loop().create_task(self._sweep())
+        if self._limits and self._upkeep is None:
+            self._upkeep = asyncio.get_running_loop().create_task(self._keep_up())
 
     def _describe(self, organisation: Organisation) -> OrganisationQuota:
         quota = super()._describe(organisation)
@@ -173,15 +174,19 @@
         del self._states[name]
         self._metrics.remove(names.QUOTA_STATE_AGE, organisation=name)
 
-    async def _sweep(self) -> None:
-        """Drop idle states, and close connections to VMs that are gone, until cancelled."""
+    async def _keep_up(self) -> None:
+        """Refill pools, drop idle states and close unused connections, until cancelled."""
         while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
+            await asyncio.sleep(UPKEEP_INTERVAL_S)
             await self._peers.close_unused(self._owners.addresses)
             for count, (name, state) in enumerate(tuple(self._states.items()), start=1):
-                if state.is_idle and self._states.get(name) is state:
+                if self._states.get(name) is not state:
+                    continue
+                if state.is_idle:
                     self._drop(name)
-                if count % SWEEP_BATCH == 0:
+                else:
+                    state.prefetch()
+                if count % UPKEEP_BATCH == 0:
                     await asyncio.sleep(0)
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
--- a/libs/forwarding/berylspindle_forwarding/quota_state.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_state.py
@@ -132,6 +132,12 @@
         pool = self._upper.pool
         return pool.standby_rate, pool.standby_tokens(self._context.clock())
 
+    def prefetch(self) -> None:
+        """Refill the pools before they are empty, and renew the standby; called twice a second."""
+        for borrowing in (self._lower, self._upper):
+            if borrowing is not None:
+                borrowing.prefetch()
+
     def set_limit(self, limit: QuotaLimit) -> None:
         """Replace the limit."""
         if limit == self._limit:
@@ -166,7 +172,7 @@
             if result is Replenished.JOINED or source is not borrowing:
                 borrowing = source
                 continue
-            if result is Replenished.FAILED or borrowing.pool.is_out_of_touch(now):
+            if result is Replenished.FAILED or borrowing.pool.is_out_of_touch:
                 return QuotaUnknown()
             return OverQuota(borrowing.pool.retry_after_s(now))
 
@@ -184,8 +190,7 @@
             grant = pool.lend_more(self._context.clock(), ask, grant)
         self._counts.on_lent(grant.tokens)
         is_unknown = (
-            result in (Replenished.FAILED, Replenished.PENDING)
-            or pool.is_out_of_touch(self._context.clock())
+            result in (Replenished.FAILED, Replenished.PENDING) or pool.is_out_of_touch
         ) and grant.tokens == 0
         # With a reason, the borrower treats the ask as not answered, but as one that no other
         # lender of the data centre could answer either.
