--- a/libs/forwarding/berylspindle_forwarding/quota_admission.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_admission.py
@@ -18,14 +18,13 @@
 from berylspindle_forwarding.attempt_policy import RequestTimes
 from berylspindle_model import codec
 from berylspindle_model.errors import ErrorKind, Refusal, RunState
-from berylspindle_model.quota_status import OrganisationQuota, QuotaStatus
+from berylspindle_model.quota_status import STATUS_PATH, OrganisationStatus, QuotaStatus
 from berylspindle_model.routing import Organisation, Route, RoutingTable
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.metrics import Counter, Metrics
 from berylspindle_wire.http import JSON_TYPE, HttpRequest, HttpResponse
 
 PATH_PREFIX: Final = "/quota/"
-STATUS_PATH: Final = "/quota/1/status"
 
 MAX_WAIT_S: Final = 0.1
 MAX_WAIT_SHARE: Final = 0.25
@@ -156,7 +155,7 @@
     async def status(self) -> QuotaStatus:
         """Return the quotas of all organisations as this VM sees them."""
         table = self._table
-        described: list[OrganisationQuota] = []
+        described: list[OrganisationStatus] = []
         for organisation in table.organisations.values() if table is not None else ():
             described.append(self._describe(organisation))
             if len(described) % STATUS_BATCH == 0:
@@ -185,23 +184,22 @@
     def _on_limits(self) -> None:
         """Handle that the limits have changed."""
 
-    def _describe(self, organisation: Organisation) -> OrganisationQuota:
-        quota = OrganisationQuota(
+    def _describe(self, organisation: Organisation) -> OrganisationStatus:
+        counts = self._counts.get(organisation.name)
+        return OrganisationStatus(
             name=organisation.name,
             rate=organisation.rate,
             burst=organisation.burst,
             priority=organisation.priority,
-        )
-        counts = self._counts.get(organisation.name)
-        if counts is None:
-            return quota
-        return attrs.evolve(
-            quota,
-            asked=counts.asked,
-            admitted=counts.admitted,
-            refused=dict(counts.refused),
-            lent=counts.lent,
-            spent=counts.spent,
+            asked=counts.asked if counts is not None else 0,
+            admitted=counts.admitted if counts is not None else 0,
+            refused=dict(counts.refused) if counts is not None else {},
+            lent=counts.lent if counts is not None else 0,
+            spent=counts.spent if counts is not None else 0,
+            state_age_ms=0,
+            level=0.0,
+            standby_rate=0.0,
+            standby_tokens=0,
         )
 
     def _counts_of(self, name: str) -> OrganisationCounts:
--- a/libs/forwarding/berylspindle_forwarding/quota_service.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_service.py
@@ -31,7 +31,7 @@
 from berylspindle_forwarding.quota_state import OrganisationState, QuotaContext
 from berylspindle_model import codec
 from berylspindle_model.quota_messages import QuotaAsk, QuotaDenial, QuotaReply
-from berylspindle_model.quota_status import OrganisationQuota
+from berylspindle_model.quota_status import OrganisationStatus
 from berylspindle_model.routing import Organisation
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.metrics import Metrics
@@ -129,7 +129,7 @@
         if self._limits and self._upkeep is None:
             self._upkeep = asyncio.get_running_loop().create_task(self._keep_up())
 
-    def _describe(self, organisation: Organisation) -> OrganisationQuota:
+    def _describe(self, organisation: Organisation) -> OrganisationStatus:
         quota = super()._describe(organisation)
         if organisation.name not in self._limits:
             return quota
@@ -144,7 +144,7 @@
         return attrs.evolve(
             quota,
             state_age_ms=int(state.age_s * 1000),
-            level=round(state.level, 3) if rank.owner == self._vm else 0.0,
+            level=round(state.level, 3),
             standby_rate=round(standby_rate, 3),
             standby_tokens=standby_tokens,
         )
--- a/libs/forwarding/berylspindle_forwarding/quota_shares.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_shares.py
@@ -10,7 +10,7 @@
 from berylspindle_decisions.even_share import EvenShare
 from berylspindle_decisions.quota_limits import QuotaBounds
 from berylspindle_forwarding.quota_admission import OverQuota, QuotaAdmission
-from berylspindle_model.quota_status import OrganisationQuota
+from berylspindle_model.quota_status import OrganisationStatus
 from berylspindle_model.routing import Organisation
 from berylspindle_telemetry.metrics import Metrics
 
@@ -51,7 +51,7 @@
             else:
                 del self._shares[name]
 
-    def _describe(self, organisation: Organisation) -> OrganisationQuota:
+    def _describe(self, organisation: Organisation) -> OrganisationStatus:
         quota = super()._describe(organisation)
         share = self._shares.get(organisation.name)
         return quota if share is None else attrs.evolve(quota, level=round(share.level, 3))
--- a/libs/forwarding/berylspindle_forwarding/quota_state.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_state.py
@@ -121,8 +121,12 @@
 
     @property
     def level(self) -> float:
-        """Return the tokens in the bucket, 0 if this VM is not the owner."""
-        return self._bucket.level(self._context.clock()) if self._bucket is not None else 0.0
+        """Return the tokens in the bucket if this VM is the owner, else those in its pools."""
+        now = self._context.clock()
+        if self._bucket is not None and self._rank.owner == self._context.vm:
+            return self._bucket.level(now)
+        pools = (self._lower, self._upper)
+        return float(sum(one.pool.unspent(now) for one in pools if one is not None))
 
     @property
     def standby(self) -> tuple[float, int]:
