--- a/tests/forwarding/test_vm_announcer.py
+++ b/tests/forwarding/test_vm_announcer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -13,6 +14,7 @@
 
 from berylspindle_decisions.follower_count import FollowerCount
 from berylspindle_forwarding import vm_announcer
+from berylspindle_forwarding.boot_clock import boot_time
 from berylspindle_forwarding.catalogue_changes import VmEntry
 from berylspindle_forwarding.vm_announcer import VmAnnouncer
 from berylspindle_model import codec
@@ -68,6 +70,9 @@
             raise StoreLeaseNotFound(lease)
         return Lease(id=lease, ttl=15.0)
 
+    async def revoke(self, lease: str) -> None:
+        self.leases.discard(lease)
+
 
 @asynccontextmanager
 async def announcing(
@@ -76,7 +81,8 @@
     followers: FollowerCount | None = None,
     is_needed: bool = True,
     is_watcher: Callable[[], bool] = lambda: False,
-) -> AsyncIterator[None]:
+    clock: Callable[[], float] = boot_time,
+) -> AsyncIterator[VmAnnouncer]:
     listed = asyncio.Event()
     listed.set()
     announcer = VmAnnouncer(
@@ -91,9 +97,10 @@
         on_failure=lambda detail: None,
         is_watcher=is_watcher,
         uniform=lambda: 0.0,
+        clock=clock,
     )
     task = asyncio.create_task(announcer.run())
-    yield
+    yield announcer
     task.cancel()
 
 
@@ -111,6 +118,33 @@
     assert store.calls == {"renew": 1}
 
 
+async def test_lease_counts_from_when_its_last_renewal_was_sent(monkeypatch) -> None:
+    """Guard against a VM that relies on its lease after the store has ended it."""
+    monkeypatch.setattr(vm_announcer, "RENEW_INTERVAL_S", 0.01)
+    store, now = LeaseStore(), [100.0]
+    store.leases.add("old")
+    store.entry = StoredValue(key=KEY, value=VALUE, revision=7, lease="old")
+    renew = store.keep_alive
+
+    async def renew_slowly(lease: str) -> Lease:
+        now[0] += 3.0
+        return await renew(lease)
+
+    store.keep_alive = renew_slowly
+    async with announcing(store, clock=lambda: now[0]) as announcer:
+        while store.calls["renew"] < 3:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        sent = now[0] - 3.0
+        assert announcer.lease_valid_until == sent + 15.0 - vm_announcer.LEASE_MARGIN_S
+        assert announcer.announced_at == -math.inf
+        store.leases.clear()
+        while not store.calls["write"]:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        assert announcer.announced_at == now[0]
+        await announcer.withdraw()
+        assert announcer.lease_valid_until == -math.inf
+
+
 async def test_entry_with_an_expired_lease_is_replaced_under_its_revision() -> None:
     """Guard against a VM that repeatedly renews an expired lease and remains unannounced."""
     store = LeaseStore()
