--- a/tests/forwarding/forward_site.py
+++ b/tests/forwarding/forward_site.py
@@ -183,6 +183,8 @@
         forwarder = Forwarder(settings, store or NoStore(), None, Metrics())  # type: ignore[arg-type]
         stack.push_async_callback(forwarder.registry.close)
         stack.push_async_callback(forwarder._crashes.close)
+        if forwarder.quotas is not None:
+            stack.push_async_callback(forwarder.quotas.close)
         # The slack of the retry budget grows over the first seconds of a process.
         forwarder._context.started -= 60.0
         server = await serve(
