--- a/tests/platform_adapter/platform_site.py
+++ b/tests/platform_adapter/platform_site.py
@@ -115,9 +115,14 @@
 
 
 async def start_vm(
-    stack: AsyncExitStack, kv: KvStandin, folder: Path, name: str, seeds: tuple[int, ...] = ()
+    stack: AsyncExitStack,
+    kv: KvStandin,
+    folder: Path,
+    name: str,
+    seeds: tuple[int, ...] = (),
+    bounds: str = "",
 ) -> tuple[asyncio.subprocess.Process, HttpClient, HttpClient, int]:
-    """Start one VM.
+    """Start one VM; `bounds` are lines that are added to the bounds of its settings.
 
     Return its process, clients for callers and readiness, and its port for peers.
     """
@@ -129,7 +134,7 @@
         f"seeds = [{seed_list}]\n"
         f'[listen]\nfront = "127.0.0.1:{front}"\nready = "127.0.0.1:{ready}"\n'
         f'control = "127.0.0.1:{control}"\n'
-        f"[bounds]\ngrace_s = 5\nbudget_slack = 60\nexposure = 0.1\nexposure_slack = 50\n"
+        f"[bounds]\ngrace_s = 5\nbudget_slack = 60\nexposure = 0.1\nexposure_slack = 50\n{bounds}\n"
         f'[platform]\naddr = "127.0.0.1:{kv.port}"\n'
     )
     process = await asyncio.create_subprocess_exec(
@@ -149,7 +154,7 @@
 
 
 @asynccontextmanager
-async def open_platform(folder: Path) -> AsyncIterator[Platform]:
+async def open_platform(folder: Path, bounds: str = "") -> AsyncIterator[Platform]:
     async with AsyncExitStack() as stack:
         kv = await stack.enter_async_context(open_kv())
         replicas = {}
@@ -159,7 +164,9 @@
                 stack.push_async_callback(replica.close)
                 replicas[replica.id] = replica
         kv.put("op/config", configuration(1))
-        process, client, ready, control = await start_vm(stack, kv, folder, "front-1")
+        process, client, ready, control = await start_vm(
+            stack, kv, folder, "front-1", bounds=bounds
+        )
         platform = Platform(
             kv=kv,
             process=process,
