--- a/libs/decisions/berylspindle_decisions/quota_limits.py
+++ b/libs/decisions/berylspindle_decisions/quota_limits.py
@@ -80,6 +80,11 @@
     depth: float
     standby: float
 
+    @property
+    def excess(self) -> float:
+        """Return the tokens beyond the rate that may exist at any time, of all three parts."""
+        return self.depth + self.initial + self.standby
+
     @property
     def initial(self) -> float:
         """Return the level with which a successor starts, in tokens."""
--- a/tests/platform_adapter/test_entries.py
+++ b/tests/platform_adapter/test_entries.py
@@ -10,6 +10,7 @@
 from berylspindle_adapter.entry_reader import PlatformReader
 from berylspindle_adapter.node_file import SettingsError, callers_address, read_fields
 from berylspindle_adapter.node_settings import NodeSettings, parse_settings
+from berylspindle_decisions.quota_limits import QuotaBounds
 from berylspindle_forwarding.catalogue_changes import (
     DataCentreExclusionChange,
     ReplicaChange,
@@ -250,7 +251,9 @@
     assert settings.edges.relays == Endpoint("127.0.0.2", 7741)
     assert settings.forward.callers_port == 7741
     assert settings.forward.relay_port is RelayPort.SEPARATE
-    assert (settings.forward.quota_window_s, settings.forward.quota_slack) == (5.0, 7.0)
+    assert settings.forward.quota == QuotaBounds(window_s=5.0, overshoot=0.1, slack=7.0)
+    path.write_text(text.replace("quota_slack", "other_slack"))
+    assert load_settings(path).forward.quota is None
     path.write_text(text.replace("internal_ports", "other_ports"))
     settings = load_settings(path)
     assert (settings.edges.relays, settings.forward.callers_port) == (None, 0)
