--- a/libs/forwarding/berylspindle_forwarding/forward_parts.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_parts.py
@@ -134,6 +134,7 @@
     listed: asyncio.Event,
     on_failure: Callable[[str], None],
     clock: Callable[[], float],
+    owns_quotas: Callable[[], bool],
 ) -> VmAnnouncer | None:
     """Create the announcer of this VM, or return None if it has no entry."""
     if not options.announce_key or options.peers is None:
@@ -158,4 +159,5 @@
         is_watcher=lambda: not vms.watchers(),
         uniform=random.random,
         clock=clock,
+        owns_quotas=owns_quotas,
     )
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -192,6 +192,7 @@
             listed=self._listed,
             on_failure=self._on_announce_failed,
             clock=clock,
+            owns_quotas=lambda: self.quotas is not None and self.quotas.has_limits,
         )
         self._rollout_controller: Final = make_rollout_controller(
             options,
--- a/libs/forwarding/berylspindle_forwarding/quota_admission.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_admission.py
@@ -115,6 +115,11 @@
         self._limits: dict[str, QuotaLimit] = {}
         self._counts: Final[dict[str, OrganisationCounts]] = {}
 
+    @property
+    def has_limits(self) -> bool:
+        """Return whether any organisation has a limit."""
+        return bool(self._limits)
+
     def set_table(self, table: RoutingTable) -> None:
         """Apply the limits of a routing table."""
         limits = {
--- a/libs/forwarding/berylspindle_forwarding/quota_peers.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_peers.py
@@ -2,19 +2,22 @@
 
 Terms:
   role      what the called VM acts as: owner of the organisation, or lender of the data centre
-  skipped   a VM that did not respond lately; it is not called for `SKIP_S`
+  skipped   a VM that did not respond repeatedly, or refused the connection; it is not called for
+            `SKIP_S`
 
 Flow: `borrow` posts an ask to a VM's peers' edge and returns the reply, or None if there was none.
 Each VM has one client with a few connections, which `close_unused` closes when the VM is no longer
 announced. Each call is counted by role and result, and failures are logged.
 
-Guard: a VM that is cut off or overloaded would hold up the asks of all organisations. After one
-time-out it is not called for `SKIP_S`, and asks fail at once meanwhile.
+Guard: a VM that is cut off or overloaded would hold up the asks of all organisations. After
+`MAX_TIMEOUTS` in a row it is not called for `SKIP_S`, and asks fail at once meanwhile. A single
+time-out also occurs while a new configuration fills the link of a VM that others follow.
 """
 
 from __future__ import annotations
 
 import enum
+from collections import Counter
 from collections.abc import Callable, Collection
 from typing import Final
 
@@ -42,6 +45,9 @@
 SKIP_S: Final = 1.0
 """Seconds for which a VM that did not respond is not called."""
 
+MAX_TIMEOUTS: Final = 3
+"""Time-outs in a row after which a VM is skipped."""
+
 MAX_CONNECTIONS: Final = 6
 """Connections to one VM. 82 organisations ask once a second; an ask takes 3 ms between data
 centres, and up to 45 ms while the lender waits for the owner."""
@@ -77,6 +83,7 @@
         self._log: Final = logger("quotas")
         self._clients: Final[dict[tuple[str, int], HttpClient]] = {}
         self._skipped_until: Final[dict[str, float]] = {}
+        self._timeouts: Final[Counter[str]] = Counter()
 
     def is_skipped(self, vm: str) -> bool:
         """Return whether a VM did not respond lately and should not be called yet."""
@@ -108,15 +115,22 @@
                 timeout=timeout,
             )
         except HttpFailure as failure:
-            self._on_failure(vm, role, "timed_out" if failure.timed_out else "lost", str(failure))
+            result = "timed_out" if failure.timed_out else "lost"
+            self._timeouts[vm] += 1
+            if not failure.timed_out or self._timeouts[vm] >= MAX_TIMEOUTS:
+                self._skip(vm)
+            self._log_failure(vm, role, result, str(failure))
             return None
+        self._timeouts.pop(vm, None)
         if response.status != 200:
-            self._on_failure(vm, role, "rejected", f"status {response.status}")
+            self._skip(vm)
+            self._log_failure(vm, role, "rejected", f"status {response.status}")
             return None
         try:
             reply = codec.from_msgpack(response.body, QuotaReply)
         except codec.MalformedError as error:
-            self._on_failure(vm, role, "malformed", str(error))
+            self._skip(vm)
+            self._log_failure(vm, role, "malformed", str(error))
             return None
         self._count(role, "granted" if reply.reason is None else reply.reason.value)
         return reply
@@ -130,11 +144,13 @@
         """Close all connections."""
         await self.close_unused(())
 
-    def _on_failure(self, vm: str, role: QuotaRole, result: str, detail: str) -> None:
-        now = self._clock()
-        self._skipped_until[vm] = now + SKIP_S
+    def _skip(self, vm: str) -> None:
+        self._skipped_until[vm] = self._clock() + SKIP_S
+        self._timeouts.pop(vm, None)
+
+    def _log_failure(self, vm: str, role: QuotaRole, result: str, detail: str) -> None:
         self._count(role, result)
-        if not self._log_limiter.allow(now, LineKind.QUOTA):
+        if not self._log_limiter.allow(self._clock(), LineKind.QUOTA):
             self._metrics.count(names.LOG_LEFT_OUT, kind=LineKind.QUOTA.value)
             return
         self._log.info(
--- a/libs/forwarding/berylspindle_forwarding/vm_announcer.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_announcer.py
@@ -50,6 +50,10 @@
 """Seconds between two renewals. A third of the lease is enough to keep it; a watcher's lease is
 short, and the store may be unavailable for several renewals."""
 
+LENDER_RENEW_INTERVAL_S: Final = 2.5
+"""Seconds between two renewals of a VM that may own quotas. It lends only while its lease is
+certain, and the store may reject a VM for ten seconds of the shortest lease."""
+
 RETRY_MIN_S: Final = 1.0
 RETRY_MAX_S: Final = 5.0
 """Seconds before a failed call is retried: the minimum at first, then doubled up to the maximum.
@@ -93,8 +97,10 @@
         is_watcher: Callable[[], bool],
         uniform: Callable[[], float],
         clock: Callable[[], float] = boot_time,
+        owns_quotas: Callable[[], bool] = lambda: False,
     ) -> None:
         self._clock: Final = clock
+        self._owns_quotas: Final = owns_quotas
         self._is_watcher: Final = is_watcher
         self._entry: Final = entry
         self._followers: Final = followers
@@ -203,13 +209,18 @@
         return entry.key.startswith(prefix) and entry.key != self._key
 
     async def _wait_until_renewal(self) -> None:
-        """Wait for a renewal interval; it becomes shorter when this VM becomes a watcher."""
+        """Wait for a renewal interval, which may become shorter meanwhile."""
         waited = 0.0
-        while waited < (WATCHER_RENEW_INTERVAL_S if self._is_watcher() else RENEW_INTERVAL_S):
+        while waited < self._renew_interval():
             step = min(WATCHER_RENEW_INTERVAL_S, RENEW_INTERVAL_S - waited)
             await asyncio.sleep(step)
             waited += step
 
+    def _renew_interval(self) -> float:
+        if self._is_watcher():
+            return WATCHER_RENEW_INTERVAL_S
+        return LENDER_RENEW_INTERVAL_S if self._owns_quotas() else RENEW_INTERVAL_S
+
     async def _step(self) -> None:
         if self._lease is not None:
             await self._renew(self._lease)
