--- a/libs/decisions/berylspindle_decisions/log_rate_limiter.py
+++ b/libs/decisions/berylspindle_decisions/log_rate_limiter.py
@@ -48,7 +48,7 @@
     LineKind.HEDGED: LineRate(4.0, 8.0),
     LineKind.SAMPLE: LineRate(0.1, 1.0),
     LineKind.SUSPICION: LineRate(4.0, 40.0),
-    LineKind.QUOTA: LineRate(4.0, 40.0),
+    LineKind.QUOTA: LineRate(1.0, 20.0),
 }
 
 
