Use the pace that replicas report in the choice of replicas

The load header may have a fourth figure, how long work takes on the replica's machine now. It was dropped together with the other three. It now weighs in the cost, in the expected queueing delay and in the time from which an attempt is overdue, with a weight that decays in 0.3 s, and is kept out of the slowdown.

--- a/libs/bench/berylspindle_bench/forward_callers.py
+++ b/libs/bench/berylspindle_bench/forward_callers.py
@@ -67,6 +67,10 @@
         slow_share, slow_factor, slow_from: share of slow replicas, multiplier of their service
             times, and the time in seconds from which they are slow.
         long_share, long_factor: share of searches with more work, and the multiplier of their work.
+        uneven_share, uneven_factor: share of replicas whose machine is slow at a time, and the
+            multiplier of their service times. Each replica draws anew every `PACE_INTERVAL_S` and
+            reports the multiplier as its pace.
+        vms: number of VMs that share the requests.
     """
 
     name: str
@@ -77,6 +81,9 @@
     slow_from: float = math.inf
     long_share: float = 0.0
     long_factor: float = 1.0
+    uneven_share: float = 0.0
+    uneven_factor: float = 1.0
+    vms: int = 8
 
     def factor(self, now: float) -> float:
         """Return the load factor at a time in seconds."""
--- a/libs/bench/berylspindle_bench/forward_model.py
+++ b/libs/bench/berylspindle_bench/forward_model.py
@@ -53,13 +53,13 @@
 REPLICAS: Final = 3
 SLOTS: Final = 2
 QUEUE_LIMIT: Final = 12
-VMS: Final = 8
 BASE_RATE_PER_S: Final = 90.0
 """Searches per second of all VMs at a load factor of 1."""
 
 ONE_WAY_S: Final = 0.001
 PAUSE_S: Final = 0.12
 PAUSE_INTERVAL_S: Final = 3.0
+PACE_INTERVAL_S: Final = 0.6
 WORK_SIGMA: Final = 0.35
 NO_REPLICA_WAIT_S: Final = 0.25
 
@@ -81,6 +81,15 @@
     work_ms: float
 
 
+@attrs.frozen(kw_only=True)
+class _LoadReport:
+    """What a replica reports with an answer."""
+
+    running: int
+    waiting: int
+    pace: float
+
+
 class _Replica:
     """A replica with `SLOTS` slots, a bounded FIFO queue and periodic pauses; some turn slow."""
 
@@ -93,6 +102,9 @@
         self._slow = pattern.slow_factor if rng.random() < pattern.slow_share else 1.0
         self._speed = rng.choice((0.8, 1.0, 1.3))
         simulation.clock.after(rng.random() * PAUSE_INTERVAL_S, self._pause)
+        self._pace = 1.0
+        if pattern.uneven_share:
+            simulation.clock.after(rng.random() * PACE_INTERVAL_S, self._change_pace)
 
     def enqueue(self, attempt: _Attempt) -> None:
         """Queue an arriving request, or refuse it if the queue is full."""
@@ -108,13 +120,18 @@
         self._simulation.clock.after(PAUSE_S, self._start_waiting)
         self._simulation.clock.after(PAUSE_INTERVAL_S, self._pause)
 
+    def _change_pace(self) -> None:
+        pattern, rng = self._simulation.pattern, self._simulation.rng
+        self._pace = pattern.uneven_factor if rng.random() < pattern.uneven_share else 1.0
+        self._simulation.clock.after(PACE_INTERVAL_S, self._change_pace)
+
     def _start_waiting(self) -> None:
         now = self._simulation.clock.now
         while self._queue and self._running < SLOTS and now >= self._paused_until:
             attempt = self._queue.popleft()
             self._running += 1
             slow = self._slow if now >= self._simulation.pattern.slow_from else 1.0
-            seconds = attempt.work_ms / 1000 * slow * self._speed
+            seconds = attempt.work_ms / 1000 * slow * self._speed * self._pace
             self._simulation.clock.after(seconds, lambda one=attempt: self._finish(one))  # type: ignore[misc]
 
     def _finish(self, attempt: _Attempt) -> None:
@@ -122,10 +139,10 @@
         if now < self._paused_until:
             self._simulation.clock.at(self._paused_until, lambda: self._finish(attempt))
             return
-        running, waiting = self._running, len(self._queue)
+        report = _LoadReport(running=self._running, waiting=len(self._queue), pace=self._pace)
         self._running -= 1
         self._simulation.clock.after(
-            ONE_WAY_S, lambda: attempt.request_run.on_answered(attempt, running, waiting)
+            ONE_WAY_S, lambda: attempt.request_run.on_answered(attempt, report)
         )
         self._start_waiting()
 
@@ -203,7 +220,7 @@
     def acquire_extra(self, service: str, *, hedge: bool) -> bool:
         """Acquire an extra attempt from the retry budget of the shard."""
         budget, now = self._vm.retry_budgets[int(service)], self._simulation.clock.now
-        if not budget.allows(now, vms=VMS, hedge=hedge):
+        if not budget.allows(now, vms=self._simulation.pattern.vms, hedge=hedge):
             return False
         budget.take(now)
         return True
@@ -212,11 +229,11 @@
         """Return the hedge delay in seconds."""
         return self._hedge_timing().delay_ms / 1000
 
-    def on_answered(self, attempt: _Attempt, running: int, waiting: int) -> None:
+    def on_answered(self, attempt: _Attempt, report: _LoadReport) -> None:
         """Handle an answer with the load report of the replica."""
         now, hedged_request = self._simulation.clock.now, self._hedged_requests[attempt.index]
         health = self._vm.healths[attempt.record.replica]
-        health.on_report(now, running=running, waiting=waiting, slots=SLOTS)
+        health.on_report(now, slots=SLOTS, **attrs.asdict(report))
         elapsed_ms = (now - attempt.record.sent_at) * 1000
         profile, unqueued = (
             self._vm.profiles[self._kind.name],
@@ -225,7 +242,7 @@
         usual_ms = unqueued.quantile(0.5) or self._hedge_timing().usual_ms
         profile.add(elapsed_ms)
         if attempt.queueing_factor <= 1.0 or not unqueued.has_enough_samples:
-            unqueued.add(elapsed_ms)
+            unqueued.add(elapsed_ms / health.pace(now))
         health.on_answer(
             now, attempt, latency_ratio=elapsed_ms / max(usual_ms * attempt.queueing_factor, 0.1)
         )
@@ -294,10 +311,8 @@
         work_ms = self._simulation.rng.lognormvariate(math.log(self._kind.work_ms), WORK_SIGMA)
         work_ms *= self._request.work_factor
         attempt = _Attempt(self, index, record, health.queueing_factor(now), work_ms)
-        hedge_delay = record.hedge_at - now
-        health.on_sent(
-            attempt, late_at=record.hedge_at, overdue_at=now + hedge_delay * attempt.queueing_factor
-        )
+        delay = (record.hedge_at - now) * attempt.queueing_factor * max(1.0, health.pace(now))
+        health.on_sent(attempt, late_at=record.hedge_at, overdue_at=now + delay)
         replica = self._simulation.replicas[name]
         self._simulation.clock.after(ONE_WAY_S, lambda: replica.enqueue(attempt))
 
@@ -340,7 +355,7 @@
             tuple(f"{shard}-{number}" for number in range(REPLICAS)) for shard in range(SHARDS)
         ]
         self.replicas: Final = {name: _Replica(self) for names in self.names for name in names}
-        self._vms: Final = [_Vm(self) for _ in range(VMS)]
+        self._vms: Final = [_Vm(self) for _ in range(pattern.vms)]
         self.requests: Final[list[CallerRequest]] = []
 
     def run(self) -> Sequence[CallerRequest]:
--- a/libs/decisions/berylspindle_decisions/admission_controller.py
+++ b/libs/decisions/berylspindle_decisions/admission_controller.py
@@ -140,7 +140,7 @@
     if no replica is left.
     """
     sound = [replica for replica in replicas if replica.is_healthy(now)]
-    idle_ms = [usual_ms * replica.slowdown(now) for replica in sound]
+    idle_ms = [usual_ms * replica.latency_factor(now) for replica in sound]
     loaded_ms = [
         idle + replica.queueing_delay_ms(now, usual_ms=usual_ms)
         for idle, replica in zip(idle_ms, sound, strict=True)
--- a/libs/decisions/berylspindle_decisions/forward_policy.py
+++ b/libs/decisions/berylspindle_decisions/forward_policy.py
@@ -39,6 +39,8 @@
     prefers_near: bool = True
     # Send less to replicas that answer slowly. If disabled, only their queues count.
     learns_pace: bool = True
+    # Use the pace that replicas report. If disabled, it is learned late from their answers.
+    uses_pace: bool = True
     # Count a pause once against a fast replica. If disabled, each late answer counts.
     clips_jumps: bool = True
     # Send less to replicas that often refuse or fail. If disabled, one success clears them.
--- a/libs/decisions/berylspindle_decisions/replica_health.py
+++ b/libs/decisions/berylspindle_decisions/replica_health.py
@@ -15,16 +15,20 @@
   queueing factor  expected duration of an attempt over its duration at a replica without a queue,
                    computed from the load at the time of sending; only latency beyond this factor
                    raises the slowdown
+  pace             how long work takes on the replica's machine, over the usual time, as last
+                   reported by the replica and decayed to 1 with the age of the report
 
 Flow: `on_sent`, `on_answer`, `on_refusal`, `on_failure` and `on_abandoned` record each attempt;
 `cost` is read for each choice of a replica. The load by other VMs comes from the replica's own
-reports (`load_estimate`).
+reports (`load_estimate`), which may also state its pace.
 
 Guards: one pause makes two or three responses late, so of a replica that was fast before, only the
 first spike counts, and it is clipped. The shed rate is needed because each success resets the
 duration of the back-off: without it, a replica that refuses half of its requests would still get a
 third of the work. The slowdown decays over `SLOWDOWN_DECAY_S`, since a replica without traffic
-gives no new evidence.
+gives no new evidence. The pace changes several times a second, faster than a VM sees most replicas,
+so a report loses its weight within `PACE_DECAY_S`. Latency that the pace explains is kept out of
+the slowdown, which would otherwise hold it against the replica for seconds.
 """
 
 from __future__ import annotations
@@ -54,6 +58,11 @@
 SHED_WEIGHT: Final = 0.2
 SHED_DECAY_S: Final = 5.0
 
+# The pace holds for about 0.6 s, so a report tells little about the replica after half of that.
+PACE_DECAY_S: Final = 0.3
+MIN_PACE: Final = 0.1
+MAX_PACE: Final = 100.0
+
 
 class ReplicaHealth:
     """The health of one replica as seen by one VM; times are in seconds of the caller's clock."""
@@ -78,6 +87,8 @@
         self._shed_rate = 0.0
         self._shed_rate_at = -math.inf
         self._remote_load: Final = LoadEstimate(use_mean=policy.estimate_load)
+        self._pace = 1.0
+        self._pace_at = -math.inf
 
     @property
     def outstanding(self) -> int:
@@ -91,6 +102,17 @@
             return 1.0
         return 1.0 + (self._slowdown - 1.0) * math.exp(-max(0.0, age) / SLOWDOWN_DECAY_S)
 
+    def pace(self, now: float) -> float:
+        """Return the pace, decayed since the last report of one."""
+        age = max(0.0, now - self._pace_at)
+        if not self._policy.uses_pace or age > 4 * PACE_DECAY_S:
+            return 1.0
+        return 1.0 + (self._pace - 1.0) * math.exp(-age / PACE_DECAY_S)
+
+    def latency_factor(self, now: float) -> float:
+        """Return the expected latency without a queue, in usual latencies."""
+        return self.slowdown(now) * self.pace(now)
+
     def shed_rate(self, now: float) -> float:
         """Return the share of refused and failed attempts, decayed since the last attempt."""
         if self._shed_rate == 0.0 or not self._policy.learns_sheds:
@@ -119,7 +141,7 @@
         """Record a response; `latency_ratio` is its latency over the usual one of its route."""
         self._attempts.pop(attempt, None)
         self._backoffs = 0
-        self._update_slowdown(now, latency_ratio)
+        self._update_slowdown(now, self._unexplained_ratio(now, latency_ratio))
         self._update_shed_rate(now, 0.0)
 
     def on_refusal(self, now: float, attempt: object, *, retry_after_s: float = 0.0) -> None:
@@ -139,6 +161,7 @@
         latencies."""
         if self._attempts.pop(attempt, None) is None:
             return
+        latency_ratio = self._unexplained_ratio(now, latency_ratio)
         if latency_ratio > self.slowdown(now):
             self._update_slowdown(now, latency_ratio)
         if latency_ratio > STALLED_COST / 2:
@@ -148,9 +171,17 @@
         """Record that an attempt was not sent after all."""
         self._attempts.pop(attempt, None)
 
-    def on_report(self, now: float, *, running: int, waiting: int, slots: int) -> None:
-        """Record the replica's report of its load by all callers together."""
+    def on_report(
+        self, now: float, *, running: int, waiting: int, slots: int, pace: float | None = None
+    ) -> None:
+        """Record the replica's report of its load by all callers together, and of its pace.
+
+        Without a pace, the last one that was reported continues to decay. Record the report before
+        the answer that carries it, as its pace explains that answer's latency.
+        """
         self.slots = max(1, slots)
+        if pace is not None:
+            self._pace, self._pace_at = min(MAX_PACE, max(MIN_PACE, pace)), now
         self._remote_load.on_report(now, total=running + waiting, own=len(self._attempts))
 
     def expected_load(self, now: float) -> float:
@@ -164,7 +195,7 @@
     def queueing_delay_ms(self, now: float, *, usual_ms: float) -> float:
         """Return the milliseconds that one more attempt would wait: for the queue, or for the end
         of the back-off after a refusal."""
-        queue_ms = usual_ms * self.slowdown(now) * self._queued_per_slot(now)
+        queue_ms = usual_ms * self.latency_factor(now) * self._queued_per_slot(now)
         return max(queue_ms, (self._refused_until - now) * 1000)
 
     def queueing_factor(self, now: float) -> float:
@@ -194,7 +225,9 @@
         state.
         """
         busy = self.expected_load(now)
-        cost = self.slowdown(now) * self.queueing_factor(now) + LOAD_COST * (
+        # A replica that answers, however slowly, costs less than a stalled one without a queue.
+        latency_factor = min(MAX_SLOWDOWN, self.latency_factor(now))
+        cost = latency_factor * self.queueing_factor(now) + LOAD_COST * (
             busy / self.slots + 0.2 * uniform
         )
         if now < self.cold_until:
@@ -207,6 +240,17 @@
             cost += BACKOFF_COST
         return cost + SHED_COST * self.shed_rate(now)
 
+    def _unexplained_ratio(self, now: float, ratio: float) -> float:
+        """Return a latency ratio without the part that the pace explains.
+
+        Only a part of the latency grows with the pace (the network's does not), so the pace may
+        explain a deviation from the usual latency, but is itself no evidence of another one.
+        """
+        pace = self.pace(now)
+        if pace < 1.0:
+            return min(ratio / pace, max(ratio, 1.0))
+        return max(ratio / pace, min(ratio, self.slowdown(now), 1.0))
+
     def _update_slowdown(self, now: float, ratio: float) -> None:
         slowdown = self.slowdown(now)
         if ratio <= SPIKE_RATIO * slowdown:
--- a/libs/forwarding/berylspindle_forwarding/attempt_policy.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_policy.py
@@ -54,9 +54,21 @@
 """Retry-after for a service without a usable replica, in milliseconds. Within a few such intervals
 a crashed replica has restarted, or its absence has been detected."""
 
+MAX_FIGURE_DIGITS: Final = 9
+"""Maximum digits of a figure in a load report; a longer one is malformed."""
+
+USUAL_PACE_FIGURE: Final = 100
+"""Figure for the pace in a load report, in hundredths, at which work takes its usual time."""
+
 _LOG: Final = logger("replica")
 
 
+def _parse_figure(text: str) -> int | None:
+    """Return a figure of a load report, or None if it is malformed."""
+    digits = text.strip()
+    return int(digits) if digits.isdecimal() and len(digits) <= MAX_FIGURE_DIGITS else None
+
+
 def _profiles() -> defaultdict[str, LatencyProfile]:
     return defaultdict(LatencyProfile)
 
@@ -192,27 +204,34 @@
 
     def record_sent(self, now: float, attempt: Attempt, reason: str) -> None:
         """Record an attempt that is sent."""
-        attempt.expected_slowdown = attempt.handle.health.queueing_factor(now)
+        health = attempt.handle.health
+        attempt.expected_slowdown = health.queueing_factor(now)
         delay = attempt.record.hedge_at - attempt.record.sent_at
-        attempt.handle.health.on_sent(
-            attempt,
-            late_at=attempt.record.hedge_at,
-            overdue_at=now + delay * attempt.expected_slowdown,
-        )
+        # A pace below 1 may have ended since its report, so it makes no attempt overdue earlier.
+        delay *= attempt.expected_slowdown * max(1.0, health.pace(now))
+        health.on_sent(attempt, late_at=attempt.record.hedge_at, overdue_at=now + delay)
         self._context.reach.on_attempt(now, attempt.handle.replica.data_centre)
-        if now < attempt.handle.health.cold_until:
+        if now < health.cold_until:
             attempt.handle.record_cold_request(now)
         self._context.metrics.count(names.FORWARD_ATTEMPTS, reason=reason)
 
     def record_load(self, now: float, handle: ReplicaHandle, reply: ExchangeReply) -> None:
-        """Record the load report of a replica if its reply has a valid one."""
+        """Record the load report of a replica if its reply has a valid one.
+
+        A fourth figure states the pace; if it is malformed, the others still count.
+        """
         text = reply.header(self._context.dialect.load)
         if text is None:
             return
         parts = text.split(",")
-        if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
-            running, waiting, slots = (int(part) for part in parts)
-            handle.health.on_report(now, running=running, waiting=waiting, slots=slots)
+        if len(parts) not in (3, 4):
+            return
+        running, waiting, slots = map(_parse_figure, parts[:3])
+        if running is None or waiting is None or slots is None:
+            return
+        figure = _parse_figure(parts[3]) if len(parts) == 4 else None
+        pace = None if figure is None else figure / USUAL_PACE_FIGURE
+        handle.health.on_report(now, running=running, waiting=waiting, slots=slots, pace=pace)
 
     def record_reply(
         self,
@@ -230,7 +249,7 @@
             ratio = self._ratio(attempt, elapsed_ms)
             self._record_version(now, attempt, elapsed_ms)
             self._profile.add(elapsed_ms)
-            self._record_unqueued(attempt, elapsed_ms)
+            self._record_unqueued(now, attempt, elapsed_ms)
             health.on_answer(now, attempt, latency_ratio=ratio)
         elif verdict is ReplyClass.REFUSED:
             health.on_refusal(now, attempt)
@@ -293,18 +312,21 @@
         ms = None if elapsed_ms is None else elapsed_ms / attempt.expected_slowdown
         self._context.rollouts.record_answer(replica, self._route.name, ms)
 
-    def _record_unqueued(self, attempt: Attempt, elapsed_ms: float) -> None:
+    def _record_unqueued(self, now: float, attempt: Attempt, elapsed_ms: float) -> None:
         """Record the latency of an attempt as that of a replica without a queue.
 
         An attempt that waited for a connection is ignored. A VM that has just started opens all
         connections at once; if these waits counted as replica latency, it would refuse callers that
         return after an outage. Attempts at a replica with a queue are recorded only until the
-        profile has enough samples, with their latency divided by the expected slowdown.
+        profile has enough samples, with their latency divided by the expected slowdown. Latencies
+        are also divided by the replica's pace, which would otherwise count twice in the expected
+        queueing delay while most replicas have the same pace.
         """
         if attempt.waited_for_connection:
             return
         if attempt.expected_slowdown <= 1.0 or not self._unqueued_profile.has_enough_samples:
-            self._unqueued_profile.add(elapsed_ms / attempt.expected_slowdown)
+            pace = attempt.handle.health.pace(now)
+            self._unqueued_profile.add(elapsed_ms / (attempt.expected_slowdown * pace))
 
     def _ratio(self, attempt: Attempt, elapsed_ms: float) -> float:
         """Return a latency over the latency expected from a replica of normal speed."""
--- a/libs/forwarding/berylspindle_forwarding/request_trace.py
+++ b/libs/forwarding/berylspindle_forwarding/request_trace.py
@@ -72,7 +72,7 @@
                 replica.id,
                 "",
                 health.outstanding,
-                health.slowdown(now),
+                health.latency_factor(now),
             )
         )
 
--- a/libs/standins/berylspindle_standins/forward_replica.py
+++ b/libs/standins/berylspindle_standins/forward_replica.py
@@ -70,6 +70,7 @@
         idle_timeout_s: time after which an idle connection is closed.
         omit_keep_alive: whether to omit the idle timeout from replies; otherwise each states it in
             whole seconds if it is at least 1 s.
+        load_suffix: text after the three figures of each load report.
     """
 
     service_time_s: float = 0.0
@@ -81,6 +82,7 @@
     crash_marker: str = ""
     idle_timeout_s: float = 5.0
     omit_keep_alive: bool = False
+    load_suffix: str = ""
 
 
 @attrs.define(kw_only=True)
@@ -292,6 +294,7 @@
 
     def _response(self, status: int, body: bytes, *headers: tuple[str, str]) -> bytes:
         load = f"{self._slots.running},{self._slots.queued},{self._slot_count}"
+        load += self.behaviour.load_suffix
         lines = [f"HTTP/1.1 {status} -", f"{self._dialect.load.decode()}: {load}"]
         lines += [f"{name}: {value}" for name, value in headers]
         if not self.behaviour.omit_keep_alive and self.behaviour.idle_timeout_s >= 1:
