Divide the rejected share of requests between organisations max-min fairly

Admission rejected every caller with the same probability, so an organisation that sends ten times the requests of another cost it as large a share. Each VM now counts the requests by organisation and rejects those above the level at which the total stays the same. Requests without an organisation are decided as before.

--- a/libs/decisions/berylspindle_decisions/admission_controller.py
+++ b/libs/decisions/berylspindle_decisions/admission_controller.py
@@ -20,6 +20,10 @@
 no other answer. The rejected share of a lower priority in a group is at least
 `LOW_PRIORITY_FACTOR` times that of the higher priorities, capped at `LOW_PRIORITY_SHARE_MAX` to
 avoid starvation.
+
+The share of a group and priority is divided between the organisations whose requests have it
+(`organisation_shares`): those that use less than their max-min fair share are rejected less, and
+the others more. The total of each priority stays the same, and with it the order of priorities.
 """
 
 from __future__ import annotations
@@ -31,6 +35,7 @@
 import attrs
 
 from berylspindle_decisions.forward_policy import ForwardPolicy
+from berylspindle_decisions.organisation_shares import OrganisationShares
 from berylspindle_decisions.replica_health import ReplicaHealth
 
 # Proportional term: the rejected share rises from 0 to 1 between these pressures.
@@ -61,20 +66,25 @@
 
 @attrs.frozen(kw_only=True)
 class AdmissionRequest:
-    """A request to admit or reject; 0 is the highest priority."""
+    """A request to admit or reject; 0 is the highest priority.
+
+    `organisation` is the name of the caller's organisation, or None if callers have none.
+    """
 
     group: str
     priority: int
     pressure: float
+    organisation: str | None = None
 
 
 @attrs.define
 class _PriorityState:
-    """Rejection state of one priority: integral term and latest pressure."""
+    """Rejection state of one priority: integral term, latest pressure and use by organisation."""
 
     share: float = 0.0
     pressure: float = 0.0
     updated_at: float = -math.inf
+    organisations: OrganisationShares = attrs.field(factory=OrganisationShares)
 
     @property
     def rejected_share(self) -> float:
@@ -110,6 +120,8 @@
         share = state.rejected_share
         if self._policy.urgent_first:
             share = max(share, _low_priority_share(states, request.priority, now))
+        if request.organisation is not None and self._policy.fair_shares:
+            share = state.organisations.rejected_share(now, request.organisation, share)
         return uniform >= share
 
 
--- a/libs/decisions/berylspindle_decisions/forward_policy.py
+++ b/libs/decisions/berylspindle_decisions/forward_policy.py
@@ -33,6 +33,9 @@
     drifts: bool = True
     # Reject more of lower priorities. If disabled, each priority counts its own queues only.
     urgent_first: bool = True
+    # Reject less of organisations that use less than their fair share. If disabled, an organisation
+    # that causes an overload and the others lose the same share of their requests.
+    fair_shares: bool = True
     # Answer a search at its latency target with enough parts. If disabled, wait for all parts.
     partial_at_target: bool = True
     # Prefer replicas of the own data centre until they are twice as slow.
