Retry renewals each second on VMs that own quotas

With a back-off of up to 5 s an owner that the store had rejected for 9 s lost its lease of 15 s after the store answered again, and 288 requests were refused with 503 until the next owner granted.

--- a/libs/forwarding/berylspindle_forwarding/vm_announcer.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_announcer.py
@@ -134,7 +134,7 @@
                 self._discard_lease()
             except StoreError as error:
                 self._on_failure(str(error))
-                await asyncio.sleep(RETRY_MIN_S if self._is_watcher() else pause)
+                await asyncio.sleep(RETRY_MIN_S if self._relies_on_lease() else pause)
                 pause = min(RETRY_MAX_S, 2 * pause)
 
     async def withdraw(self) -> None:
@@ -216,6 +216,9 @@
             await asyncio.sleep(step)
             waited += step
 
+    def _relies_on_lease(self) -> bool:
+        return self._is_watcher() or self._owns_quotas()
+
     def _renew_interval(self) -> float:
         if self._is_watcher():
             return WATCHER_RENEW_INTERVAL_S
