--- a/libs/decisions/berylspindle_decisions/even_share.py
+++ b/libs/decisions/berylspindle_decisions/even_share.py
@@ -14,7 +14,7 @@
 
 import math
 
-from berylspindle_decisions.quota_limits import EXCESS_PARTS, QuotaLimit
+from berylspindle_decisions.quota_limits import QuotaLimit
 
 
 class EvenShare:
@@ -32,7 +32,8 @@
     @property
     def depth(self) -> float:
         """Return the size of the bucket in tokens."""
-        return max(1.0, self._limit.depth * EXCESS_PARTS / self._vms)
+        excess = self._limit.depth + self._limit.standby + self._limit.initial
+        return max(1.0, excess / self._vms)
 
     @property
     def level(self) -> float:
--- a/libs/forwarding/berylspindle_forwarding/quota_state.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_state.py
@@ -37,11 +37,6 @@
 from berylspindle_telemetry.logs import logger
 from berylspindle_telemetry.metrics import Metrics
 
-LENDER_ASKS_PER_S: Final = 4.0
-"""Asks of a lender to an owner on another VM, per second. A lender also asks for the VMs below it:
-with one ask a second, 18% of the requests at 0.63 of a limit of 30/s over 78 VMs were refused; with
-four, none was, at 0.28 instead of 0.25 messages a second for each VM in use."""
-
 INCARNATION_BITS: Final = 53
 """Size of an incarnation: every JSON and MessagePack reader represents it exactly."""
 
@@ -262,15 +257,12 @@
         return self._upper
 
     def _open_pool(self, *, is_upper: bool, is_local: bool) -> Borrowing:
-        asks_per_s = LENDER_ASKS_PER_S if is_upper else ASKS_PER_S
-        if is_local:
-            asks_per_s = math.inf
         pool = TokenPool(
             self._name,
             self._context.vm,
             self._context.random_bits(INCARNATION_BITS),
             self._limit,
-            asks_per_s=asks_per_s,
+            asks_per_s=math.inf if is_local else ASKS_PER_S,
         )
         return Borrowing(
             pool,
