--- a/libs/bench/berylspindle_bench/forward_model.py
+++ b/libs/bench/berylspindle_bench/forward_model.py
@@ -83,11 +83,11 @@
 
 @attrs.frozen(kw_only=True)
 class _LoadReport:
-    """What a replica reports with an answer."""
+    """What a replica reports with an answer; a pace only if paces differ."""
 
     running: int
     waiting: int
-    pace: float
+    pace: float | None
 
 
 class _Replica:
@@ -139,7 +139,8 @@
         if now < self._paused_until:
             self._simulation.clock.at(self._paused_until, lambda: self._finish(attempt))
             return
-        report = _LoadReport(running=self._running, waiting=len(self._queue), pace=self._pace)
+        pace = self._pace if self._simulation.pattern.uneven_share else None
+        report = _LoadReport(running=self._running, waiting=len(self._queue), pace=pace)
         self._running -= 1
         self._simulation.clock.after(
             ONE_WAY_S, lambda: attempt.request_run.on_answered(attempt, report)
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -352,3 +352,26 @@
         assert {one.status for one in responses} == {200}
         await prober.close()
         await mirror.close(0.0)
+
+
+@pytest.mark.parametrize(
+    ("suffix", "pace", "counts"),
+    [
+        ("", 1.0, True),
+        (", 250", 2.5, True),
+        (",0", 0.1, True),
+        (",\xb2", 1.0, True),
+        ("," + "9" * 5000, 1.0, True),
+        (",250,1", 1.0, False),
+    ],
+)
+async def test_load_report_may_state_a_pace(suffix: str, pace: float, counts: bool) -> None:
+    """Guard against dropping a whole report because of its fourth figure."""
+    async with open_site() as site:
+        replica = await site.replica("only", "booking")
+        site.route(plain_route())
+        replica.behaviour.load_suffix = suffix
+        assert (await site.ask("/booking/1")).status == 200
+        health = site.forwarder.registry.get("only").health
+        assert health.pace(health._pace_at) == pytest.approx(pace)
+        assert (health._remote_load._reported_at > 0.0) is counts
