Pass organisations to admission, and take no first owner for a successor

An owner that was created within 12 s of the first start refilled at 0.6 of the limit, since it counted with a predecessor's standby: an organisation at seven times its limit of 30/s got 17 to 20/s.

--- a/libs/forwarding/berylspindle_forwarding/attempt_policy.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_policy.py
@@ -155,6 +155,7 @@
         """
         self._avoided: Final = avoided
         own_priority = organisation.priority if organisation is not None else None
+        self._organisation: Final = organisation.name if organisation is not None else None
         self._priority: Final = route.priority if own_priority is None else own_priority
         self._context: Final = context
         self._route: Final = route
@@ -361,6 +362,7 @@
             group=services[0],
             priority=self._priority,
             pressure=queueing_pressure(added_ms, min_parts=least, target_ms=aim_ms),
+            organisation=self._organisation,
         )
         if self._context.admission.admit(now, request, uniform=random.random()):
             return None
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -137,6 +137,7 @@
             clock=clock,
             lease_valid_until=lambda: self._lease_valid_until,
             announced_at=lambda: self._announced_at,
+            first_start=options.first_start,
         )
         self.quotas: Final = make_quotas(options, self.vms, self._quota_owners, metrics, clock)
         self.front: Final = Front(
--- a/libs/forwarding/berylspindle_forwarding/quota_owners.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_owners.py
@@ -38,6 +38,10 @@
 """Seconds after which a newly announced VM grants tokens: the previous owner may have seen the new
 entry `SETTLE_S` later, and grants for another `SETTLE_S`."""
 
+FIRST_START_S: Final = 10.0
+"""Seconds after the first start of the whole system in which VMs are announced. Callers come later,
+so that an owner since then has no predecessor that granted tokens."""
+
 HISTORY_S: Final = 15.0
 """Seconds for which past periods are kept; longer than standby lasts (`STANDBY_TTL_S`)."""
 
@@ -64,6 +68,7 @@
 class QuotaOwners:
     """Owners and lenders as this VM sees them; times are in seconds of `clock`.
 
+    `first_start` states that all VMs of the system start for the first time.
     `lease_valid_until` returns the time until which the store keeps this VM's lease for certain,
     and `announced_at` the time at which this process was granted a new lease, or minus infinity.
     """
@@ -76,12 +81,14 @@
         clock: Callable[[], float],
         lease_valid_until: Callable[[], float],
         announced_at: Callable[[], float],
+        first_start: bool = False,
     ) -> None:
         self._vm: Final = vm
         self._data_centre: Final = data_centre
         self._clock: Final = clock
         self._lease_valid_until: Final = lease_valid_until
         self._announced_at: Final = announced_at
+        self._unused_until: Final = clock() + FIRST_START_S if first_start else -math.inf
         self._listed = False
         self._entries: dict[str, VmEntry] = {}
         self._considered_from: dict[str, float] = {}
@@ -143,9 +150,13 @@
         """
         now = self._clock()
         self._update(now)
-        grants_from = self._grants_from()
-        if now < grants_from or now >= self._lease_valid_until():
+        if now < self._grants_from() or now >= self._lease_valid_until():
             return None
+        since = self._first_since(organisation, now)
+        return -math.inf if since is not None and since < self._unused_until else since
+
+    def _first_since(self, organisation: str, now: float) -> float | None:
+        grants_from = self._grants_from()
         since: float | None = None
         for period in reversed(self._periods):
             if _first(organisation, period.vms) != self._vm:
