Send large values between mirrors in compressed form

Cause: a watcher passes each version of the configuration, of 30 to 60 KB, to its 26 followers at once, which occupies a link of 100 Mbit/s for 70 to 130 ms, while searches and quota calls wait.

Change: a mirror compresses values of more than 8 KB by zlib, level 5, once per entry, and readers decompress them and keep the compressed form for their own followers. A response whose compressed values are invalid, or have more than 16 MB together, is malformed. The paths have protocol version 4; a response with small values only differs by an empty list of 12 bytes.

--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -9,7 +9,8 @@
 for peers serves requests from it. A watch of a mirror is answered at the next change, and also as
 soon as the mirror's view is confirmed later than the reader's, so that a confirmation reaches all
 followers without delay. `MirrorStore` is a read-only `Store` over a peer's mirror, so that the same
-code follows the store or a mirror. Each response states the ages of the span.
+code follows the store or a mirror. Each response states the ages of the span, and carries large
+values in compressed form (`large_values`).
 
 Guard: without mirrors, a VM that starts while the store is unavailable, or that the store rejects,
 would have no routes and replicas, although its peers have them all. A mirror may be outdated;
@@ -30,6 +31,11 @@
 from berylspindle_decisions.confirmed_span import ConfirmedSpan, from_ages
 from berylspindle_decisions.follower_count import FollowerCount
 from berylspindle_decisions.loss_reports import LossReports
+from berylspindle_forwarding.large_values import (
+    compress_entries,
+    decompress_entries,
+    with_large_value,
+)
 from berylspindle_model import codec
 from berylspindle_store.store import (
     Lease,
@@ -43,12 +49,11 @@
 from berylspindle_wire.http import HttpLimits, HttpRequest, HttpResponse
 from berylspindle_wire.http_client import HttpFailure
 
-T = TypeVar("T")
-
-LIST_PATH: Final = "/mirror/3/entries"
-WATCH_PATH: Final = "/mirror/3/changes"
+LIST_PATH: Final = "/mirror/4/entries"
+WATCH_PATH: Final = "/mirror/4/changes"
 """Paths with the version of the protocol. VMs of different versions follow the store, not each
-other: version 1 has revisions without an era, and version 2 has no ages."""
+other: version 1 has revisions without an era, version 2 has no ages, and version 3 has no
+compressed values."""
 
 CONTENT_TYPE: Final = "application/msgpack"
 
@@ -57,7 +62,7 @@
 
 MAX_RESPONSE_BYTES: Final = 16 * 1024 * 1024
 """Longest accepted response of a mirror: the entries of 5,200 replicas take 1.4 MB, a configuration
-up to 1 MB."""
+up to 1 MB. Also the limit of the decompressed values of one response together."""
 
 MAX_WAIT_S: Final = 5.0
 LIST_TIMEOUT_S: Final = 1.0
@@ -86,21 +91,23 @@
     Attributes:
         span: its span; None if the store has not confirmed its view yet.
         cut_off: whether its VM reaches no other data centre and can't serve all routes locally.
+        compressed: positions of the entries whose values are compressed (`large_values`).
     """
 
     revision: int
     span: SpanReport | None = None
     cut_off: bool = False
     entries: tuple[StoredValue, ...] = ()
+    compressed: tuple[int, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
 class MirrorChanges:
     """The changes after a revision; `compacted` if the mirror no longer has all of them.
 
-    `span` and `cut_off` are as in `MirrorList`. `held_ms` is the time from the request to
-    the response; `losses` maps replicas that lost responses to the age of the loss in milliseconds
-    (`decisions.loss_reports`).
+    `span`, `cut_off` and `compressed` are as in `MirrorList`. `held_ms` is the time from the
+    request to the response; `losses` maps replicas that lost responses to the age of the loss in
+    milliseconds (`decisions.loss_reports`).
     """
 
     revision: int
@@ -110,6 +117,10 @@
     cut_off: bool = False
     losses: dict[str, int] = attrs.field(factory=dict)
     entries: tuple[StoredValue, ...] = ()
+    compressed: tuple[int, ...] = ()
+
+
+MessageT = TypeVar("MessageT", MirrorList, MirrorChanges)
 
 
 class Mirror:
@@ -161,7 +172,7 @@
             return
         if self._span is None:
             self._started = self._clock()
-        listed = {entry.key: entry for entry in entries}
+        listed = {entry.key: with_large_value(entry) for entry in entries}
         changes = [entry for entry in listed.values() if entry != self._entries.get(entry.key)]
         changes += [
             StoredValue(key=key, value=None, revision=revision)
@@ -178,7 +189,7 @@
 
     def apply_changes(self, entries: Iterable[StoredValue], revision: int) -> None:
         """Apply changes up to a revision."""
-        for entry in entries:
+        for entry in map(with_large_value, entries):
             if entry.value is None:
                 self._entries.pop(entry.key, None)
             else:
@@ -268,6 +279,8 @@
         )
 
     def _to_response(self, message: MirrorList | MirrorChanges) -> HttpResponse:
+        entries, compressed = compress_entries(message.entries)
+        message = attrs.evolve(message, entries=entries, compressed=compressed)
         return HttpResponse(
             status=200, body=codec.to_msgpack(message), headers={"content-type": CONTENT_TYPE}
         )
@@ -381,7 +394,9 @@
             follows_gap=report.follows_gap,
         )
 
-    async def _request(self, path: str, query: dict[str, str], timeout: float, kind: type[T]) -> T:
+    async def _request(
+        self, path: str, query: dict[str, str], timeout: float, kind: type[MessageT]
+    ) -> MessageT:
         try:
             response = await self._client.get(path, query=query, timeout=timeout)
         except HttpFailure as failure:
@@ -389,9 +404,11 @@
         if response.status != 200:
             raise StoreUnavailable(f"mirror: status {response.status}")
         try:
-            return codec.from_msgpack(response.body, kind)
+            message = codec.from_msgpack(response.body, kind)
+            entries = decompress_entries(message.entries, message.compressed, MAX_RESPONSE_BYTES)
         except codec.MalformedError as error:
             raise StoreUnavailable(f"mirror: {error}") from error
+        return attrs.evolve(message, entries=entries, compressed=())
 
 
 def pack_losses(losses: Mapping[str, int]) -> str:
--- a/tests/forwarding/test_unconfirmed_mirror.py
+++ b/tests/forwarding/test_unconfirmed_mirror.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from forward_site import NoStore
 from test_restored_store import Recorder, TextReader
@@ -34,6 +36,36 @@
         raise StoreUnavailable("unavailable")
 
 
+@asynccontextmanager
+async def open_follower(
+    *mirrors: MirrorAddress, confirmed_s: float = 0.0
+) -> AsyncIterator[Recorder]:
+    """Follow mirrors after the first list; the view was confirmed for `confirmed_s` before it."""
+    loop = asyncio.get_running_loop()
+    recorder = Recorder()
+    selector = UpstreamSelector(
+        FirstListStore(), mirrors=lambda: mirrors, now=loop.time, rng=random.Random(1)
+    )
+    catalogue = Catalogue(
+        selector,
+        TextReader(),
+        recorder,
+        Mirror(loop.time, loop.time),
+        has_recent_requests=lambda: True,
+        now=loop.time,
+        uniform=lambda: 0.5,
+    )
+    if confirmed_s:
+        catalogue._view.add(ConfirmedSpan(loop.time() - confirmed_s, loop.time()))
+    task = asyncio.create_task(catalogue.run())
+    try:
+        yield recorder
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await selector.close()
+
+
 async def test_deletion_from_a_mirror_without_a_confirmation_does_not_take_effect() -> None:
     """Guard against live replicas that a VM drops by the list of a VM which has just started."""
     loop = asyncio.get_running_loop()
@@ -41,24 +73,6 @@
     started.replace_entries([], 6)
     async with await serve(started.handle, host="127.0.0.1", port=0) as server:
         address = MirrorAddress("127.0.0.1", server.port, True)
-        recorder = Recorder()
-        selector = UpstreamSelector(
-            FirstListStore(), mirrors=lambda: (address,), now=loop.time, rng=random.Random(1)
-        )
-        own = Mirror(loop.time, loop.time)
-        catalogue = Catalogue(
-            selector,
-            TextReader(),
-            recorder,
-            own,
-            has_recent_requests=lambda: True,
-            now=loop.time,
-            uniform=lambda: 0.5,
-        )
-        catalogue._view.add(ConfirmedSpan(loop.time() - 9.0, loop.time()))
-        task = asyncio.create_task(catalogue.run())
-        await asyncio.sleep(2.0)
-        assert recorder.state == {"replica": "ready"}
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-        await selector.close()
+        async with open_follower(address, confirmed_s=9.0) as recorder:
+            await asyncio.sleep(2.0)
+            assert recorder.state == {"replica": "ready"}
