--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -21,7 +21,7 @@
 from berylspindle_decisions.response_timing import NEW_CONNECTION_MARGIN_MS, RESPONSE_MARGIN_MS
 from berylspindle_decisions.weighted_round_robin import WeightedRoundRobin
 from berylspindle_forwarding.attempt_policy import ForwardContext, RequestTimes
-from berylspindle_forwarding.credentials import KeyFault, accept_relayed, authenticate
+from berylspindle_forwarding.credentials import accept_relayed, authenticate
 from berylspindle_forwarding.dialect import Dialect
 from berylspindle_forwarding.relay import Relay, RelayPort, RelayTimes
 from berylspindle_forwarding.request_head import (
@@ -36,6 +36,7 @@
 from berylspindle_forwarding.scatter_gather import ScatterGather
 from berylspindle_forwarding.subset_call import SubsetCall
 from berylspindle_model.errors import ANSWERS, ErrorKind, Refusal
+from berylspindle_model.key_faults import KeyFault
 from berylspindle_model.routing import Organisation, Route, RoutingTable
 from berylspindle_telemetry import metric_names as names
 from berylspindle_wire.http import HttpRequest, HttpResponse
@@ -187,7 +188,6 @@
                 refusal = Refusal(ErrorKind.UNAUTHORISED, authenticated.value)
                 return self._refuse(refusal, forward, route, table_wait_ms=table_wait_ms)
             forward = authenticated
-            route = _with_priority(route, forward.organisation)
         routed = RoutedRequest(
             forward=forward,
             route=route,
@@ -226,7 +226,6 @@
             route = subset_route
         if table.requires_key:
             forward = accept_relayed(forward, table, self._context.dialect)
-            route = _with_priority(route, forward.organisation)
         routed = RoutedRequest(
             forward=forward,
             route=route,
@@ -442,13 +441,6 @@
     return attrs.evolve(route, shard_set=subset)
 
 
-def _with_priority(route: Route, organisation: Organisation | None) -> Route:
-    """Return the route with the priority of an organisation, if it has one."""
-    if organisation is None or organisation.priority in (None, route.priority):
-        return route
-    return attrs.evolve(route, priority=organisation.priority)
-
-
 def refusal_reply(refusal: Refusal, id_header: bytes, request_id: bytes) -> HttpResponse:
     """Return the response for a refusal, with the caller's request id."""
     headers: list[tuple[bytes, bytes]] = []
