--- a/libs/decisions/berylspindle_decisions/replica_health.py
+++ b/libs/decisions/berylspindle_decisions/replica_health.py
@@ -28,10 +28,9 @@
 duration of the back-off: without it, a replica that refuses half of its requests would still get a
 third of the work. The slowdown decays over `SLOWDOWN_DECAY_S`, since a replica without traffic
 gives no new evidence. The pace changes several times a second, faster than a VM sees most replicas,
-so a report loses its weight within `PACE_DECAY_S`. It decays to the mean pace: in simulations of
-79 VMs with 15% of the replicas slow at a time, late parts fell by 8% to 22% compared with the
-figure ignored, and with a decay to 1 by 3% to 9%. A replica that was just seen at its usual pace is
-a better choice than one that was not seen for a while. A replica that never reports a pace has pace
+so a report loses its weight within `PACE_DECAY_S`. It decays to the mean pace and not to 1: a
+replica that was just seen at its usual pace is a better choice than one that was not seen for a
+while. A replica that never reports a pace has pace
 1. Latency that the pace explains is kept out of the slowdown, which would otherwise hold it against
 the replica for seconds.
 """
