--- a/libs/decisions/berylspindle_decisions/replica_health.py
+++ b/libs/decisions/berylspindle_decisions/replica_health.py
@@ -30,9 +30,8 @@
 gives no new evidence. The pace changes several times a second, faster than a VM sees most replicas,
 so a report loses its weight within `PACE_DECAY_S`. It decays to the mean pace and not to 1: a
 replica that was just seen at its usual pace is a better choice than one that was not seen for a
-while. A replica that never reports a pace has pace
-1. Latency that the pace explains is kept out of the slowdown, which would otherwise hold it against
-the replica for seconds.
+while. A replica that never reports a pace has pace 1. Latency that the pace explains is kept out of
+the slowdown, which would otherwise hold it against the replica for seconds.
 """
 
 from __future__ import annotations
