--- a/libs/forwarding/berylspindle_forwarding/forward_options.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_options.py
@@ -6,9 +6,11 @@
 
 from berylspindle_decisions.confirmed_span import DEFAULT_MAX_GAP_S
 from berylspindle_decisions.forward_policy import ForwardPolicy
+from berylspindle_decisions.quota_limits import QuotaBounds
 from berylspindle_decisions.rollout_plan import ExposureBounds
 from berylspindle_decisions.shared_retry_budget import SharedBudgetOptions
 from berylspindle_forwarding.dialect import Dialect
+from berylspindle_forwarding.relay import RelayPort
 from berylspindle_forwarding.replica_pool import PoolOptions
 from berylspindle_forwarding.replica_registry import ColdBounds
 from berylspindle_forwarding.rollout_controller import RolloutEntries
@@ -27,6 +29,8 @@
             others follow these and have no entry.
         suspects_prefix: key prefix of requests that crash replicas, or empty.
         callers_port: port where this VM accepts relayed requests, or 0.
+        relay_port: whether that is the callers' port or a separate one.
+        quota: bounds on the requests of organisations, or None if quotas are not enforced.
         bears: capacity of this VM (`decisions.relay_choice`).
         first_start: whether all VMs of the system start for the first time.
         expected_vms: minimum number of VMs among which budgets and connections are divided.
@@ -48,6 +52,8 @@
     announced_here: int = 3
     suspects_prefix: str = ""
     callers_port: int = 0
+    relay_port: RelayPort = RelayPort.CALLERS
+    quota: QuotaBounds | None = None
     bears: float = 1.0
     first_start: bool = False
     expected_vms: int = 8
--- a/libs/standins/berylspindle_standins/forward_replica.py
+++ b/libs/standins/berylspindle_standins/forward_replica.py
@@ -19,7 +19,7 @@
 import hashlib
 import socket
 import struct
-from collections import Counter
+from collections import Counter, deque
 from typing import Final
 
 import attrs
@@ -28,6 +28,7 @@
 from berylspindle_standins.slots import Slots
 
 RECORD_COUNT: Final = 12
+MAX_HEADS: Final = 100
 _READ_BYTES: Final = 65536
 
 
@@ -70,6 +71,7 @@
         idle_timeout_s: time after which an idle connection is closed.
         omit_keep_alive: whether to omit the idle timeout from replies; otherwise each states it in
             whole seconds if it is at least 1 s.
+        load_suffix: text after the three figures of each load report.
     """
 
     service_time_s: float = 0.0
@@ -81,6 +83,7 @@
     crash_marker: str = ""
     idle_timeout_s: float = 5.0
     omit_keep_alive: bool = False
+    load_suffix: str = ""
 
 
 @attrs.define(kw_only=True)
@@ -93,6 +96,7 @@
         remaining_ms: time left until the deadline of each request that ran, as its header states.
         targets: targets of the requests that ran.
         bodies: bodies of the requests that ran.
+        heads: the last heads received, as they arrived.
     """
 
     arrivals: int = 0
@@ -104,6 +108,7 @@
     remaining_ms: list[int] = attrs.field(factory=list)
     targets: list[str] = attrs.field(factory=list)
     bodies: list[bytes] = attrs.field(factory=list)
+    heads: deque[bytes] = attrs.field(factory=lambda: deque(maxlen=MAX_HEADS))
 
 
 def answer_body(service: str, target: str) -> bytes:
@@ -201,6 +206,7 @@
         }
         length = int(headers.get("content-length", "0"))
         self.counts.arrivals += 1
+        self.counts.heads.append(head)
         early = self._consume_fault(ReplyFault.EARLY)
         if early:
             self._write(writer, self._answer(target, headers))
@@ -292,6 +298,7 @@
 
     def _response(self, status: int, body: bytes, *headers: tuple[str, str]) -> bytes:
         load = f"{self._slots.running},{self._slots.queued},{self._slot_count}"
+        load += self.behaviour.load_suffix
         lines = [f"HTTP/1.1 {status} -", f"{self._dialect.load.decode()}: {load}"]
         lines += [f"{name}: {value}" for name, value in headers]
         if not self.behaviour.omit_keep_alive and self.behaviour.idle_timeout_s >= 1:
