Lend until a VM stops, and keep its entry over a restart

A VM now lends until it closes, and with limits in the configuration its entry stays, so that the new process owns the same quotas at once.

--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -240,8 +240,6 @@
     def begin_shutdown(self) -> None:
         """Report not ready from now on; requests that still arrive are served."""
         self._shutting_down = True
-        if self.quotas is not None:
-            self.quotas.begin_shutdown()
 
     async def run(self) -> None:
         """Apply catalogue changes and keep this VM announced until cancelled."""
@@ -254,7 +252,16 @@
                 tasks.create_task(self._rollout_controller.run())
 
     async def leave(self) -> None:
-        """Withdraw this VM's announcement."""
+        """Withdraw this VM's announcement, unless VMs borrow the tokens of quotas from it.
+
+        A VM that is restarted owns the same quotas again at once if its entry stays, and until then
+        lenders use their standby. Withdrawn, they would change their owner twice, and each new
+        owner lends less than the limit at first.
+        """
+        if self.quotas is not None:
+            self.quotas.begin_shutdown()
+            if self.quotas.has_limits:
+                return
         if self._announcer is not None:
             await self._announcer.withdraw()
 
