Defer deletions also after an outage that is shorter than a gap

Cause: deletions were deferred only after a gap of two heartbeats less 0.2 s in the answers.

Change: two calls of one VM that fail in a row, while no VM is known to be answered, make a shorter time an outage. Deletions are deferred only from two heartbeats after the last answer before it (12 s for VMs), and so by at most the length of the outage and 0.3 s. Spans hand that time on; the field of the mirror's protocol is optional.

--- a/libs/forwarding/berylspindle_forwarding/applied_entries.py
+++ b/libs/forwarding/berylspindle_forwarding/applied_entries.py
@@ -27,6 +27,7 @@
 
 import xxhash
 
+from berylspindle_decisions.confirmed_span import DEFAULT_MAX_GAP_S
 from berylspindle_store.revisions import number_of
 from berylspindle_store.store import StoredValue
 
@@ -36,6 +37,10 @@
 VMs, `SETTLE_S` for all others. A VM whose lease has expired writes its entry again only at its next
 renewal."""
 
+VM_EXPIRY_S: Final = 12.0
+"""Seconds after the beginning of an outage before which no lease of a live VM expires. The shorter
+lease of two kinds takes 15 s and is renewed every 1.5 s (`vm_announcer`)."""
+
 MAX_SUPERSEDED: Final = 4000
 """Superseded entries that are kept; a copy is some seconds old, and a second has tens of
 changes."""
@@ -48,7 +53,8 @@
     """The applied and deferred entries of one VM.
 
     `is_vm_key` returns whether a key belongs to a VM's entry, and `is_same_change` whether two
-    entries with equal values mean the same.
+    entries with equal values mean the same. No lease of a live process but a VM expires sooner than
+    `expiry` seconds after the beginning of an outage.
     """
 
     def __init__(
@@ -56,13 +62,16 @@
         *,
         is_vm_key: Callable[[str], bool],
         is_same_change: Callable[[StoredValue, StoredValue], bool],
+        expiry: float = DEFAULT_MAX_GAP_S,
     ) -> None:
         self._is_vm_key: Final = is_vm_key
         self._is_same_change: Final = is_same_change
         self._applied: Final[dict[str, StoredValue]] = {}
         self._deferred: Final[dict[str, StoredValue]] = {}
         self._superseded: Final[OrderedDict[_Identity, None]] = OrderedDict()
+        self._expiry: Final = expiry
         self._settled_from = -math.inf
+        self._gap_from = -math.inf
 
     @property
     def next_settled_at(self) -> float | None:
@@ -94,13 +103,15 @@
         """Return the keys of applied and deferred entries that a list does not have."""
         return [key for key in {**self._applied, **self._deferred} if key not in listed]
 
-    def set_settled_from(self, since: float | None) -> None:
+    def set_settled_from(self, since: float | None, *, gap_from: float = -math.inf) -> None:
         """Defer entries for some time after `since`, the first answer of the store after an outage.
 
         None if there was no outage. The time does not change while the store answers any VM, and an
-        earlier one ends the deferral.
+        earlier one ends the deferral. `gap_from` is the last answer before the outage; a deletion
+        is deferred only once a lease that was renewed before it may have expired.
         """
         self._settled_from = -math.inf if since is None else since
+        self._gap_from = gap_from
 
     def apply(self, now: float, entry: StoredValue) -> bool:
         """Return whether an entry takes effect now; one that is older than the applied does not."""
@@ -141,13 +152,16 @@
             return False
         if entry.revision < known.revision:
             return False
-        if now < self.settles_at(entry.key):
+        if self._expires_from(entry.key) <= now < self.settles_at(entry.key):
             self._deferred[entry.key] = entry
             return False
         del self._applied[entry.key]
         self._supersede(known)
         return True
 
+    def _expires_from(self, key: str) -> float:
+        return self._gap_from + (VM_EXPIRY_S if self._is_vm_key(key) else self._expiry)
+
     def _supersede(self, entry: StoredValue) -> None:
         self._superseded[_identity(entry)] = None
         if len(self._superseded) > MAX_SUPERSEDED:
--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -91,6 +91,7 @@
         self._entries: Final = AppliedEntries(
             is_vm_key=lambda key: self._reader.is_vm_key(key),
             is_same_change=self._is_same_change,
+            expiry=max_gap,
         )
         self._view: Final = ViewSpan(max_gap)
         self._gap_from = ""
@@ -220,12 +221,17 @@
 
     async def _on_success(self, upstream: Upstream, span: ConfirmedSpan | None) -> None:
         known = self._view.span
-        if span is not None:
+        if span is not None and upstream.is_mirror:
             self._view.add(span)
+        elif span is not None:
+            self._view.add_answer(span)
         if (view := self._view.span) is not None:
             if known is None or known.since != view.since:
                 self._gap_from = upstream.name
-            self._entries.set_settled_from(view.since if view.follows_gap else None)
+            self._entries.set_settled_from(
+                view.since if view.follows_gap else None,
+                gap_from=view.gap_from,
+            )
         if upstream.is_near:
             self._listener.on_peer_isolation(upstream.cut_off, upstream.store)
         if not upstream.is_mirror:
@@ -235,6 +241,7 @@
 
     async def _on_failure(self, upstream: Upstream, detail: str) -> None:
         if not upstream.is_mirror:
+            self._view.on_failed_call(self._now())
             self._listener.on_store_reachability(False, detail)
         await self._selector.record_failure(upstream)
 
--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -71,12 +71,16 @@
 
 @attrs.frozen(kw_only=True)
 class SpanReport:
-    """A mirror's span: the ages in milliseconds of both ends at the time of the response."""
+    """A mirror's span: the ages in milliseconds of both ends at the time of the response.
+
+    `gap` is the age of the last answer before the span; None if that is not known.
+    """
 
     at: int
     since: int
     era: int
     follows_gap: bool
+    gap: int | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -259,12 +263,14 @@
         if self._span is None:
             return None
         now = self._clock()
+        gap_from = self._span.gap_from
         # Rounded so that a reader takes neither end for more favourable than it is.
         return SpanReport(
             at=math.ceil((now - self._span.at) * 1000),
             since=math.floor((now - self._span.since) * 1000),
             era=self._span.era,
             follows_gap=self._span.follows_gap,
+            gap=math.ceil((now - gap_from) * 1000) if math.isfinite(gap_from) else None,
         )
 
     def _to_response(self, message: MirrorList | MirrorChanges) -> HttpResponse:
@@ -379,6 +385,7 @@
             since_age=report.since / 1000,
             era=report.era,
             follows_gap=report.follows_gap,
+            gap_age=report.gap / 1000 if report.gap is not None else math.inf,
         )
 
     async def _request(self, path: str, query: dict[str, str], timeout: float, kind: type[T]) -> T:
--- a/tests/decisions/test_confirmed_span.py
+++ b/tests/decisions/test_confirmed_span.py
@@ -81,6 +81,37 @@
     assert view.span == ConfirmedSpan(0.0, DEFAULT_MAX_GAP_S - 0.1)
 
 
+def test_two_failed_calls_in_a_row_show_an_outage_that_is_shorter_than_a_gap() -> None:
+    """Guard against live replicas that are removed after an outage that swallows a heartbeat."""
+    view, peer = ViewSpan(), ViewSpan()
+    for known in (view, peer):
+        known.add(answer(0.0))
+    view.on_failed_call(0.2)
+    view.on_failed_call(0.9)
+    view.add_answer(answer(1.9))
+    assert view.span == ConfirmedSpan(1.9, 1.9, 0, follows_gap=True)
+    assert view.span.gap_from == 0.0
+    peer.add(view.span)
+    assert peer.span == view.span
+    # A later answer to another VM belongs to the same outage.
+    view.add(ConfirmedSpan(2.6, 2.6, 0, follows_gap=True, gap_from=0.0))
+    assert (view.span.since, view.span.at) == (1.9, 2.6)
+
+
+@pytest.mark.parametrize(("failed", "peer_at"), [((0.2,), 0.0), ((0.2, 0.9), 0.3)])
+def test_failed_calls_of_one_vm_alone_are_no_outage(
+    failed: tuple[float, ...], peer_at: float
+) -> None:
+    """Guard against a lost response, or a rejected VM, that defers the deletions of a fleet."""
+    view = ViewSpan()
+    view.add(answer(0.0))
+    for at in failed:
+        view.on_failed_call(at)
+    view.add(answer(peer_at))
+    view.add_answer(answer(1.9))
+    assert view.span == ConfirmedSpan(0.0, 1.9)
+
+
 def test_deferral_ends_at_the_same_time_whoever_relays_the_first_answer() -> None:
     """Guard against deletions that each hop defers anew."""
     first, second = ViewSpan(), ViewSpan()
@@ -159,3 +190,18 @@
     assert confirmed_by_call(received=1.3, has_changes=False, **call).at == 1.0  # type: ignore[arg-type]
     changed = confirmed_by_call(received=1.4, has_changes=True, **call)  # type: ignore[arg-type]
     assert changed == attrs.evolve(answer(1.0, 3), since=1.4)
+
+
+def test_answer_before_a_gap_is_handed_on_no_later_than_it_was() -> None:
+    """Guard against a hop that applies deletions of leases which expired in an outage."""
+    span = from_ages(
+        sent=10.0,
+        received=10.6,
+        held=0.2,
+        at_age=0.1,
+        since_age=0.5,
+        era=0,
+        follows_gap=True,
+        gap_age=2.0,
+    )
+    assert span.gap_from == pytest.approx(8.2)
--- a/tests/forwarding/test_applied_entries.py
+++ b/tests/forwarding/test_applied_entries.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from berylspindle_decisions.confirmed_span import ConfirmedSpan, ViewSpan
-from berylspindle_forwarding.applied_entries import SETTLE_S, AppliedEntries
+from berylspindle_decisions.confirmed_span import DEFAULT_MAX_GAP_S, ConfirmedSpan, ViewSpan
+from berylspindle_forwarding.applied_entries import SETTLE_S, VM_EXPIRY_S, AppliedEntries
 from berylspindle_store.revisions import make_revision
 from berylspindle_store.store import StoredValue
 
@@ -105,3 +106,19 @@
     derandomize=True, deadline=None, database=None, max_examples=200
 )
 TestRestoredStore = RestoredStoreMachine.TestCase
+
+
+@pytest.mark.parametrize(("key", "expiry"), [("a", DEFAULT_MAX_GAP_S), ("vm", VM_EXPIRY_S)])
+def test_deletion_is_deferred_only_if_a_lease_may_have_expired_in_the_outage(
+    key: str, expiry: float
+) -> None:
+    """Guard against requests to replicas that leave right after a moment without an answer."""
+    for before, is_deferred in ((0.01, False), (0.0, True)):
+        entries = AppliedEntries(
+            is_vm_key=lambda key: key == "vm", is_same_change=lambda one, other: True
+        )
+        entries.apply(0.0, StoredValue(key=key, value=b"1", revision=1))
+        entries.set_settled_from(100.5, gap_from=100.0)
+        deletion = StoredValue(key=key, value=None, revision=2)
+        assert entries.apply(100.0 + expiry - before, deletion) is not is_deferred
+        assert entries.is_deferred(key) is is_deferred
