Let a VM whose watchers are fed by it follow the store

Cause: while the store serves one follower and rejects the watchers, they follow that VM's mirror and hand back its own confirmations.

Change: watchers that are confirmed no later than the VM's own last call are not eligible for 3 s after two direct calls, and are asked again by a watch of half a cycle.

--- a/libs/decisions/berylspindle_decisions/upstream_choice.py
+++ b/libs/decisions/berylspindle_decisions/upstream_choice.py
@@ -25,6 +25,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 from typing import Final, Generic, Protocol, TypeVar
 
@@ -51,6 +52,11 @@
 PROBE_WAIT_S: Final = 0.05
 """Wait of a call that only has to show the state of its upstream."""
 
+FED_WAIT_S: Final = 0.5
+"""Wait of a watch of a watcher that may follow this VM: half of the cycle in which a watcher that
+the store serves is confirmed by itself. Within a shorter one right after this VM's own call to the
+store, no watcher would be confirmed later."""
+
 FALLBACK_WAIT_S: Final = 0.3
 """Longest wait of a watch of a mirror while the view is over the direct age."""
 
@@ -67,7 +73,8 @@
 DIRECT_CALLS_BEFORE_STORE: Final = 2
 """Direct calls answered before a VM whose watchers lag follows the store: after an outage that
 affected all VMs the watchers are recent again within a second, and hundreds of followers would load
-the store."""
+the store. A watcher which is confirmed no later than the last of these calls does not end them: it
+may follow this VM."""
 
 NEAR_ATTEMPTS: Final = 2
 REMOTE_RETRY_S: Final = 3.0
@@ -156,10 +163,12 @@
         self._excluded_until: dict[A, float] = {}
         self._suspects: set[A] = set()
         self._lagging: set[A] = set()
+        self._fed: set[A] = set()
         self._failures = 0
         self._store_failures = 0
         self._store_probe_at = 0.0
         self._direct_calls = 0
+        self._answered_at = -math.inf
         self._near_misses = 0
         self._remote_retry_at = 0.0
         self._follows_store = True
@@ -212,17 +221,22 @@
         """Record a call that was answered; `age` is that of the mirror's view."""
         self._failures = 0
         if call.mirror is None:
-            self._on_store_success(known)
+            self._on_store_success(now, known)
             return
         if age > self.direct_age(is_watcher=known.is_watcher):
             self._exclude(call.mirror, now + LAG_EXCLUSION_S)
             self._lagging.add(call.mirror)
             return
+        is_later = now - age > self._answered_at
+        if not is_later and self._direct_calls >= DIRECT_CALLS_BEFORE_STORE:
+            self._exclude_fed(now, known.watchers)
+            return
+        self._fed.discard(call.mirror)
         self._current = call.mirror
         self._suspects.discard(call.mirror)
         self._lagging.discard(call.mirror)
         self._near_misses = 0
-        if call.mirror in known.watchers:
+        if call.mirror in known.watchers and is_later:
             self._direct_calls = 0
 
     def on_failure(self, now: float, call: UpstreamCall[A], *, known: KnownVms[A]) -> None:
@@ -233,13 +247,15 @@
                 self._remote_retry_at = now + REMOTE_RETRY_S
             self._exclude(call.mirror, now + EXCLUSION_S)
             self._lagging.discard(call.mirror)
+            self._fed.discard(call.mirror)
             return
         self._store_failures += 1
         self._direct_calls = 0
         self._store_probe_at = now + self._probe_interval(known) * (0.5 + self._uniform())
 
-    def _on_store_success(self, known: KnownVms[A]) -> None:
+    def _on_store_success(self, now: float, known: KnownVms[A]) -> None:
         self._store_failures = 0
+        self._answered_at = now
         if not known.watchers:
             self._current = None
             return
@@ -247,6 +263,8 @@
         if self._direct_calls == 1:
             # After an outage the watchers may be recent as well.
             self._excluded_until.clear()
+        elif self._direct_calls == DIRECT_CALLS_BEFORE_STORE:
+            self._exclude_fed(now, known.watchers)
 
     def _probe_interval(self, known: KnownVms[A]) -> float:
         if known.watchers:
@@ -262,6 +280,12 @@
         if self._current == mirror:
             self._current = None
 
+    def _exclude_fed(self, now: float, watchers: tuple[A, ...]) -> None:
+        for watcher in self._eligible(now, watchers):
+            self._exclude(watcher, now + EXCLUSION_S)
+            self._lagging.add(watcher)
+            self._fed.add(watcher)
+
     def _choose(self, mirrors: Sequence[A]) -> A:
         return mirrors[int(self._uniform() * len(mirrors))]
 
@@ -290,7 +314,10 @@
             wait = FALLBACK_WAIT_S
         else:
             delay = min(delay, wait)
-            wait = PROBE_WAIT_S if mirror in self._suspects else wait - delay
+            if mirror in self._fed:
+                wait = min(wait - delay, FED_WAIT_S)
+            else:
+                wait = PROBE_WAIT_S if mirror in self._suspects else wait - delay
         return UpstreamCall(mirror=mirror, delay=delay, wait=wait, timeout=wait + MIRROR_MARGIN_S)
 
     def _store_watch(self, pause: float, time_left: float) -> UpstreamCall[A]:
--- a/tests/decisions/test_upstream_choice.py
+++ b/tests/decisions/test_upstream_choice.py
@@ -10,6 +10,8 @@
 from berylspindle_decisions.confirmed_span import DEFAULT_MAX_GAP_S
 from berylspindle_decisions.upstream_choice import (
     CHANGE_RESERVE_S,
+    FED_WAIT_S,
+    MAX_CYCLE_S,
     MIRROR_MARGIN_S,
     PROBE_WAIT_S,
     STORE_MARGIN_S,
@@ -41,7 +43,10 @@
 
 
 class Follower:
-    """A VM that makes the calls; `hung` mirrors never answer, `stale` ones have an old view."""
+    """A VM that makes the calls.
+
+    `hung` mirrors never answer, `stale` ones have an old view, `fed` ones have this VM's view.
+    """
 
     def __init__(self, vms: KnownVms[Peer], seed: int, bound: float = 3.0) -> None:
         self.choice = UpstreamChoice[Peer](age_limit(bound), random.Random(seed).random)
@@ -49,6 +54,7 @@
         self.now, self.confirmed_at = 0.0, 0.0
         self.hung: set[Peer] = set()
         self.stale: set[Peer] = set()
+        self.fed: set[Peer] = set()
         self.is_rejected = False
         self.calls: list[Call] = []
         self.oldest = 0.0
@@ -80,6 +86,7 @@
             return
         self.now += min(call.wait, 1.0)
         at = -9.0 if mirror in self.stale else self.now - 0.1
+        at = self.confirmed_at if mirror in self.fed else at
         self._confirm(at)
         self.choice.on_success(self.now, call, age=self.now - at, known=self.vms)
 
@@ -120,6 +127,22 @@
     assert follower.oldest <= age_limit(3.0)
 
 
+def test_vm_whose_watchers_are_fed_by_it_follows_the_store_until_they_are_not() -> None:
+    """Guard against rejected watchers that count as recent on the only VM that the store serves."""
+    follower = Follower(known(ONE, TWO), 1)
+    follower.fed = {ONE, TWO}
+    while follower.now < 10.0:
+        follower.step()
+    follower.oldest = 0.0
+    while follower.now < 30.0:
+        follower.step()
+    assert follower.oldest <= MAX_CYCLE_S + FED_WAIT_S + 0.1
+    follower.fed = set()
+    while follower.now < 35.0:
+        follower.step()
+    assert all(follower.step().mirror is not None for _ in range(50))
+
+
 def test_rejected_vm_follows_recent_mirrors_and_probes_the_store() -> None:
     """Guard against a rejected VM that has an old view, or never tries the store again."""
     follower = Follower(known(mirrors=(ONE, FAR)), 1)
