Ask the follower with a more recent view first on a rejected watcher

Cause: a watcher that the store rejects chose mirrors by chance, one in 0.3 s, between probes of 1 s of a store that does not answer.

Change: a watch states the address of the reader's mirror; a mirror keeps the reader with the most recent view for 10 s, and UpstreamChoice asks it first when the store is unavailable.

The new test of UpstreamChoice fails without the choice (age 20 s).

--- a/libs/decisions/berylspindle_decisions/upstream_choice.py
+++ b/libs/decisions/berylspindle_decisions/upstream_choice.py
@@ -11,7 +11,8 @@
 watchers watches the store in cycles. Any other VM waits for its watcher, which answers at its next
 change or confirmation, until the age of its own view reaches the direct age; then it calls the
 store. A mirror that fails or lags is excluded for a while. A VM whose calls to the store fail asks
-mirrors, near ones first, and probes the store at intervals.
+mirrors, first that of a follower with a more recent view, then near ones, and probes the store at
+intervals.
 
 Guard: each hop on the way from the store has waits, time-outs and retries. If they depend on
 whether the last call was answered, their sum has no limit, and a change takes effect seconds late
@@ -128,12 +129,14 @@
         mirrors: mirrors of all other VMs, the watchers among them.
         is_watcher: whether this VM is followed by others.
         local_vms: number of VMs in the data centre.
+        recent: mirror of a follower whose view was more recent than this VM's a moment ago.
     """
 
     watchers: tuple[A, ...]
     mirrors: tuple[A, ...]
     is_watcher: bool
     local_vms: int
+    recent: A | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -212,7 +215,7 @@
         if self._follows_store and not self.store_unavailable:
             return self._store_watch(pause, time_left)
         if known.mirrors and not (self._follows_store and can_probe):
-            return self._mirror_call(self._pick_fallback(now, known.mirrors), time_left)
+            return self._mirror_call(self._pick_fallback(now, known), time_left)
         return self._store_probe()
 
     def on_success(
@@ -295,8 +298,11 @@
     def _pick(self, mirrors: list[A]) -> A:
         return self._current if self._current in mirrors else self._choose(mirrors)
 
-    def _pick_fallback(self, now: float, mirrors: tuple[A, ...]) -> A:
-        if self._current in mirrors:
+    def _pick_fallback(self, now: float, known: KnownVms[A]) -> A:
+        mirrors = known.mirrors
+        if known.recent is not None and self._eligible(now, (known.recent,)):
+            return known.recent
+        if self._current is not None and self._current in (*mirrors, known.recent):
             return self._current
         eligible = self._eligible(now, mirrors)
         near = [a for a in eligible if a.is_near]
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -159,6 +159,7 @@
             local_vm_count=self.vms.local_vm_count,
             extra_query=self._upstream_report,
             on_losses=self._on_losses,
+            recent_reader=self.mirror.recent_reader,
         )
         self._catalogue: Final = Catalogue(
             self._upstream_selector,
@@ -374,6 +375,8 @@
     def _upstream_report(self) -> dict[str, str]:
         """Return the query fields that this VM sends to its upstream VM."""
         fields: dict[str, str] = {}
+        if (own := self._options.peers) is not None:
+            fields["mirror"] = f"{own.host}:{own.port}"
         for_others = self.vms.is_watcher() and bool(self.vms.watchers())
         if report := self.rollouts.report(include_reports=for_others):
             fields |= {"vm": self._options.vm, "rollouts": report}
--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -68,6 +68,10 @@
 """Seconds by which a mirror's view has to be confirmed later than the reader's for an answer
 without a change."""
 
+RECENT_READER_S: Final = 10.0
+"""Seconds for which a reader whose view was more recent than this VM's is worth asking: the longest
+interval between two probes of the store (`decisions.upstream_choice`)."""
+
 
 @attrs.frozen(kw_only=True)
 class SpanReport:
@@ -133,6 +137,7 @@
         self._span: ConfirmedSpan | None = None
         self._changed = asyncio.Event()
         self._cut_off = False
+        self._recent_reader: tuple[str, float] | None = None
         self.followers: Final = FollowerCount()
         self.losses = LossReports()
         self.on_rollout_report: Callable[[str, str], None] = lambda vm, report: None
@@ -152,6 +157,16 @@
         """Return the seconds since the view was confirmed; before that, since it was listed."""
         return self._clock() - (self._span.at if self._span is not None else self._started)
 
+    def recent_reader(self) -> str | None:
+        """Return the address of the reader that had the most recent view when it asked last.
+
+        None if no reader's view was more recent than this one in the last `RECENT_READER_S`.
+        """
+        if self._recent_reader is None:
+            return None
+        address, confirmed_at = self._recent_reader
+        return address if self._clock() - confirmed_at <= RECENT_READER_S else None
+
     def get(self, key: str) -> StoredValue | None:
         """Return an entry by its key."""
         return self._entries.get(key)
@@ -231,6 +246,7 @@
         known_cut_off = query.get("cut_off") == "1"
         received = self._clock()
         confirmed_at = received - float(query.get("age", "inf"))
+        self._record_reader(query.get("mirror", ""), confirmed_at)
         try:
             async with asyncio.timeout(min(wait, MAX_WAIT_S)):
                 while (
@@ -259,6 +275,14 @@
     def _is_confirmed_after(self, at: float) -> bool:
         return self._span is not None and self._span.at >= at + MIN_GAIN_S
 
+    def _record_reader(self, address: str, confirmed_at: float) -> None:
+        if self._span is None or confirmed_at - self._span.at < MIN_GAIN_S:
+            return
+        if not address.rpartition(":")[2].isdecimal():
+            return
+        if self._recent_reader is None or self._recent_reader[1] < confirmed_at:
+            self._recent_reader = address, confirmed_at
+
     def _report_span(self) -> SpanReport | None:
         if self._span is None:
             return None
--- a/libs/forwarding/berylspindle_forwarding/upstream_selector.py
+++ b/libs/forwarding/berylspindle_forwarding/upstream_selector.py
@@ -82,6 +82,7 @@
         local_vm_count: Callable[[], int] = lambda: 1,
         extra_query: Callable[[], dict[str, str]] = dict,
         on_losses: Callable[[dict[str, int]], None] = lambda losses: None,
+        recent_reader: Callable[[], str | None] = lambda: None,
     ) -> None:
         """Initialize the selector.
 
@@ -89,7 +90,9 @@
         if this VM must follow the store itself. `is_watcher` returns whether others follow this VM,
         `local_vm_count` the number of VMs in the data centre, and `extra_query` the query
         parameters that describe this VM to a mirror. `on_losses` receives a mirror's reports of
-        lost responses by replica. `age_limit` is the greatest allowed age of the view in seconds.
+        lost responses by replica. `recent_reader` returns the address of a follower whose view was
+        more recent than this VM's (`Mirror.recent_reader`). `age_limit` is the greatest allowed age
+        of the view in seconds.
         """
         self._store: Final = store
         self._mirrors: Final = mirrors
@@ -98,6 +101,7 @@
         self._local_vm_count: Final = local_vm_count
         self._extra_query: Final = extra_query
         self._on_losses: Final = on_losses
+        self._recent_reader: Final = recent_reader
         self._now: Final = now
         self._choice: Final = UpstreamChoice[MirrorAddress](age_limit, rng.random)
         self._current: tuple[MirrorAddress, MirrorStore] | None = None
@@ -156,8 +160,16 @@
             mirrors=self._mirrors(),
             is_watcher=self._is_watcher(),
             local_vms=self._local_vm_count(),
+            recent=self._recent(),
         )
 
+    def _recent(self) -> MirrorAddress | None:
+        reader = self._recent_reader()
+        if reader is None:
+            return None
+        host, _, port = reader.rpartition(":")
+        return MirrorAddress(host, int(port), is_near=True)
+
     def _open(self, address: MirrorAddress) -> MirrorStore:
         # Each VM that is told counts this one as a follower, so a fallback is not.
         return MirrorStore(
--- a/tests/decisions/test_upstream_choice.py
+++ b/tests/decisions/test_upstream_choice.py
@@ -154,6 +154,16 @@
     assert 10 <= len(probes) <= 50
 
 
+def test_rejected_watcher_asks_the_follower_that_was_more_recent_first() -> None:
+    """Guard against a rejected watcher that finds the VM which the store serves by chance."""
+    vms = attrs.evolve(known(mirrors=(ONE, TWO, FAR)), recent=THREE)
+    follower = Follower(vms, 1)
+    follower.is_rejected, follower.stale = True, {ONE, TWO, FAR}
+    while follower.now < 20.0:
+        follower.step()
+    assert follower.oldest <= age_limit(3.0)
+
+
 def test_follower_of_recent_watchers_never_calls_the_store() -> None:
     """Guard against hundreds of VMs that each call the store though their watchers are recent."""
     follower = Follower(known(ONE, TWO), 1)
--- a/tests/forwarding/test_mirror.py
+++ b/tests/forwarding/test_mirror.py
@@ -13,9 +13,16 @@
 
 from berylspindle_decisions.confirmed_span import ConfirmedSpan
 from berylspindle_decisions.upstream_choice import STORE_RETRY_S
-from berylspindle_forwarding.mirror import MAX_CHANGES, Mirror, MirrorStore
+from berylspindle_forwarding.mirror import (
+    MAX_CHANGES,
+    RECENT_READER_S,
+    WATCH_PATH,
+    Mirror,
+    MirrorStore,
+)
 from berylspindle_forwarding.upstream_selector import MirrorAddress, UpstreamSelector
 from berylspindle_store.store import StoredValue, StoreUnavailable
+from berylspindle_wire.http import HttpRequest
 from berylspindle_wire.http_server import serve
 
 
@@ -113,6 +120,21 @@
         assert time.monotonic() - store.span.at < 0.2
 
 
+async def test_reader_with_a_more_recent_view_is_known_for_some_seconds() -> None:
+    """Guard against a rejected watcher that does not notice which of its followers is served."""
+    clock = [100.0]
+    mirror = Mirror(lambda: clock[0], lambda: clock[0])
+    mirror.confirm(ConfirmedSpan(0.0, 98.0))
+    readers = (("older", "2.5"), ("vm:7", "1.0"), ("vm:8", "0.5"), ("no port", "0.1"))
+    for address, age in readers:
+        query = {"after": "0", "wait": "0", "mirror": address, "age": age}
+        request = HttpRequest(method="GET", path=WATCH_PATH, query=query, headers={}, body=b"")
+        await mirror.handle(request)
+    assert mirror.recent_reader() == "vm:8"
+    clock[0] += RECENT_READER_S
+    assert mirror.recent_reader() is None
+
+
 class PlaceholderStore(MirrorStore):
     """A store that is only compared by identity."""
 
