--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -7,6 +7,7 @@
 import pytest
 from forward_site import DIALECT, HOST, open_site, plain_route
 
+from berylspindle_decisions.forward_policy import ForwardPolicy
 from berylspindle_forwarding.vm_probe import Prober
 from berylspindle_model.routing import ServiceRules, WeightedService
 from berylspindle_standins.forward_replica import ReplyFault, answer_body, signature_of
@@ -367,7 +368,7 @@
 )
 async def test_load_report_may_state_a_pace(suffix: str, pace: float, counts: bool) -> None:
     """Guard against dropping a whole report because of its fourth figure."""
-    async with open_site() as site:
+    async with open_site(policy=ForwardPolicy(uses_pace=True)) as site:
         replica = await site.replica("only", "booking")
         site.route(plain_route())
         replica.behaviour.load_suffix = suffix
