--- a/libs/decisions/berylspindle_decisions/forward_policy.py
+++ b/libs/decisions/berylspindle_decisions/forward_policy.py
@@ -1,4 +1,4 @@
-"""Switches of the forwarding decisions, one per mechanism; all are on by default.
+"""Switches of the forwarding decisions, one per mechanism; all but `uses_pace` are on by default.
 
 Terms:
   switch   a mechanism that can be disabled, so that its effect can be determined
@@ -42,8 +42,9 @@
     prefers_near: bool = True
     # Send less to replicas that answer slowly. If disabled, only their queues count.
     learns_pace: bool = True
-    # Use the pace that replicas report. If disabled, it is learned late from their answers.
-    uses_pace: bool = True
+    # Use the pace that replicas report. Off by default: parts that miss the latency target became
+    # more, as most reports are older than the pace lasts.
+    uses_pace: bool = False
     # Count a pause once against a fast replica. If disabled, each late answer counts.
     clips_jumps: bool = True
     # Send less to replicas that often refuse or fail. If disabled, one success clears them.
@@ -81,5 +82,8 @@
 
 
 def disabled_switches(policy: ForwardPolicy) -> tuple[str, ...]:
-    """Return the names of the disabled switches."""
-    return tuple(name for name, is_on in attrs.asdict(policy).items() if not is_on)
+    """Return the names of the switches that are disabled although they are on by default."""
+    on_by_default = attrs.asdict(ForwardPolicy())
+    return tuple(
+        name for name, is_on in attrs.asdict(policy).items() if on_by_default[name] and not is_on
+    )
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -173,6 +173,7 @@
             local_vm_count=self.vms.local_vm_count,
             extra_query=self._upstream_report,
             on_losses=self._on_losses,
+            recent_reader=self.mirror.recent_reader,
         )
         self._catalogue: Final = Catalogue(
             self._upstream_selector,
@@ -240,8 +241,6 @@
     def begin_shutdown(self) -> None:
         """Report not ready from now on; requests that still arrive are served."""
         self._shutting_down = True
-        if self.quotas is not None:
-            self.quotas.begin_shutdown()
 
     async def run(self) -> None:
         """Apply catalogue changes and keep this VM announced until cancelled."""
@@ -254,7 +253,16 @@
                 tasks.create_task(self._rollout_controller.run())
 
     async def leave(self) -> None:
-        """Withdraw this VM's announcement."""
+        """Withdraw this VM's announcement, unless VMs borrow the tokens of quotas from it.
+
+        A VM that is restarted owns the same quotas again at once if its entry stays, and until then
+        lenders use their standby. Withdrawn, they would change their owner twice, and each new
+        owner lends less than the limit at first.
+        """
+        if self.quotas is not None:
+            self.quotas.begin_shutdown()
+            if self.quotas.has_limits:
+                return
         if self._announcer is not None:
             await self._announcer.withdraw()
 
@@ -417,6 +425,8 @@
     def _upstream_report(self) -> dict[str, str]:
         """Return the query fields that this VM sends to its upstream VM."""
         fields: dict[str, str] = {}
+        if (own := self._options.peers) is not None:
+            fields["mirror"] = f"{own.host}:{own.port}"
         for_others = self.vms.is_watcher() and bool(self.vms.watchers())
         if report := self.rollouts.report(include_reports=for_others):
             fields |= {"vm": self._options.vm, "rollouts": report}
--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -73,15 +73,23 @@
 """Seconds by which a mirror's view has to be confirmed later than the reader's for an answer
 without a change."""
 
+RECENT_READER_S: Final = 10.0
+"""Seconds for which a reader whose view was more recent than this VM's is worth asking: the longest
+interval between two probes of the store (`decisions.upstream_choice`)."""
+
 
 @attrs.frozen(kw_only=True)
 class SpanReport:
-    """A mirror's span: the ages in milliseconds of both ends at the time of the response."""
+    """A mirror's span: the ages in milliseconds of both ends at the time of the response.
+
+    `gap` is the age of the last answer before the span; None if that is not known.
+    """
 
     at: int
     since: int
     era: int
     follows_gap: bool
+    gap: int | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -140,6 +148,7 @@
         self._span: ConfirmedSpan | None = None
         self._changed = asyncio.Event()
         self._cut_off = False
+        self._recent_reader: tuple[str, float] | None = None
         self.followers: Final = FollowerCount()
         self.losses = LossReports()
         self.on_rollout_report: Callable[[str, str], None] = lambda vm, report: None
@@ -159,6 +168,16 @@
         """Return the seconds since the view was confirmed; before that, since it was listed."""
         return self._clock() - (self._span.at if self._span is not None else self._started)
 
+    def recent_reader(self) -> str | None:
+        """Return the address of the reader that had the most recent view when it asked last.
+
+        None if no reader's view was more recent than this one in the last `RECENT_READER_S`.
+        """
+        if self._recent_reader is None:
+            return None
+        address, confirmed_at = self._recent_reader
+        return address if self._clock() - confirmed_at <= RECENT_READER_S else None
+
     def get(self, key: str) -> StoredValue | None:
         """Return an entry by its key."""
         return self._entries.get(key)
@@ -238,6 +257,7 @@
         known_cut_off = query.get("cut_off") == "1"
         received = self._clock()
         confirmed_at = received - float(query.get("age", "inf"))
+        self._record_reader(query.get("mirror", ""), confirmed_at)
         try:
             async with asyncio.timeout(min(wait, MAX_WAIT_S)):
                 while (
@@ -266,16 +286,26 @@
     def _is_confirmed_after(self, at: float) -> bool:
         return self._span is not None and self._span.at >= at + MIN_GAIN_S
 
+    def _record_reader(self, address: str, confirmed_at: float) -> None:
+        if self._span is None or confirmed_at - self._span.at < MIN_GAIN_S:
+            return
+        if not address.rpartition(":")[2].isdecimal():
+            return
+        if self._recent_reader is None or self._recent_reader[1] < confirmed_at:
+            self._recent_reader = address, confirmed_at
+
     def _report_span(self) -> SpanReport | None:
         if self._span is None:
             return None
         now = self._clock()
+        gap_from = self._span.gap_from
         # Rounded so that a reader takes neither end for more favourable than it is.
         return SpanReport(
             at=math.ceil((now - self._span.at) * 1000),
             since=math.floor((now - self._span.since) * 1000),
             era=self._span.era,
             follows_gap=self._span.follows_gap,
+            gap=math.ceil((now - gap_from) * 1000) if math.isfinite(gap_from) else None,
         )
 
     def _to_response(self, message: MirrorList | MirrorChanges) -> HttpResponse:
@@ -392,6 +422,7 @@
             since_age=report.since / 1000,
             era=report.era,
             follows_gap=report.follows_gap,
+            gap_age=report.gap / 1000 if report.gap is not None else math.inf,
         )
 
     async def _request(
