Derive the spent tokens of a VM, and state when it stops lending

Each admitted request spends one token, so the second count was the same. The guard in the module docstring described the earlier shutdown, in which asks were rejected from the signal on.

--- a/libs/forwarding/berylspindle_forwarding/quota_admission.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_admission.py
@@ -63,13 +63,12 @@
     They are kept beside the metrics, which count organisations beyond `MAX_SERIES` together.
     """
 
-    __slots__ = ("_admitted", "_lent", "_spent", "admitted", "asked", "lent", "refused", "spent")
+    __slots__ = ("_admitted", "_lent", "_spent", "admitted", "asked", "lent", "refused")
 
     def __init__(self, organisation: str, metrics: Metrics) -> None:
         self.asked = 0
         self.admitted = 0
         self.lent = 0
-        self.spent = 0
         self.refused: dict[str, int] = {}
         self._admitted: Final = metrics.counter(
             names.QUOTA_REQUESTS, organisation=organisation, result=ADMITTED
@@ -80,7 +79,6 @@
     def on_admitted(self) -> None:
         """Count an admitted request and its token."""
         self.admitted += 1
-        self.spent += 1
         self._admitted.add()
         self._spent.add()
 
@@ -200,7 +198,8 @@
             admitted=counts.admitted if counts is not None else 0,
             refused=dict(counts.refused) if counts is not None else {},
             lent=counts.lent if counts is not None else 0,
-            spent=counts.spent if counts is not None else 0,
+            # Each admitted request spends one token.
+            spent=counts.admitted if counts is not None else 0,
             state_age_ms=0,
             level=0.0,
             standby_rate=0.0,
--- a/libs/forwarding/berylspindle_forwarding/quota_service.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_service.py
@@ -10,8 +10,8 @@
 request or ask, and dropped when it is idle. Organisations without a limit have no state and cause
 no message.
 
-Guard: from `begin_shutdown` on asks of other VMs are rejected, so that they find the next lender
-while this VM still serves its own requests.
+Guard: a VM lends until its ports are closed at the end of a shutdown. From `begin_shutdown` on asks
+of other VMs are rejected, so that they find the next lender.
 """
 
 from __future__ import annotations
