--- a/tests/forwarding/test_quota_owners.py
+++ b/tests/forwarding/test_quota_owners.py
@@ -13,7 +13,7 @@
 class View:
     """Owners as one VM sees them, on a clock that the test sets."""
 
-    def __init__(self, vm: str, *listed: str) -> None:
+    def __init__(self, vm: str, *listed: str, first_start: bool = False) -> None:
         self.now = 100.0
         self.lease_valid_until = math.inf
         self.announced_at = -math.inf
@@ -23,13 +23,14 @@
             clock=lambda: self.now,
             lease_valid_until=lambda: self.lease_valid_until,
             announced_at=lambda: self.announced_at,
+            first_start=first_start,
         )
         self.add(*listed)
         self.owners.on_listed()
 
-    def add(self, *vms: str) -> None:
+    def add(self, *vms: str, bears: float = 1.0) -> None:
         for vm in vms:
-            entry = VmEntry(host="127.0.0.1", port=1, data_centre=vm[0])
+            entry = VmEntry(host="127.0.0.1", port=1, data_centre=vm[0], bears=bears)
             self.owners.apply(VmChange(vm, entry))
 
     def remove(self, vm: str) -> None:
@@ -116,3 +117,26 @@
     view.add("a1", "b1")
     assert view.owners.generation == generation
     assert view.granted() == view.owned()
+
+
+def test_small_vm_owns_and_lends_only_without_a_larger_one() -> None:
+    """Guard against the asks of a data centre at a VM that is too slow to answer in time."""
+    view = View("a1", "a1")
+    view.add("a2", bears=2.1)
+    view.now += OWN_SETTLE_S
+    assert view.owned() == set()
+    assert view.owners.rank(ORGANISATIONS[0]).lenders == ("a2",)
+    view.remove("a2")
+    assert view.granted() == set(ORGANISATIONS)
+
+
+def test_owner_since_the_first_start_of_the_system_has_no_predecessor() -> None:
+    """Guard against owners that lend less than the limit for seconds after the first start."""
+    views = (View("a1", first_start=True), View("a1"))
+    for view in views:
+        view.add("a1")
+        view.now += OWN_SETTLE_S
+    first, later = (view.owners.owned_since(ORGANISATIONS[0]) for view in views)
+    assert first == -math.inf
+    assert later is not None
+    assert later > -math.inf
