End the processes of a case also when its script gets SIGTERM

The scripts ended their processes on success, failure and Ctrl-C, but not when they were stopped by SIGTERM.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,6 +21,7 @@
     CannotRun,
     Machine,
     Record,
+    clean_up_on_sigterm,
     loopback_network,
     new_id,
     send,
@@ -181,4 +182,5 @@
     return 0 if held else 1
 
 
+clean_up_on_sigterm()
 sys.exit(asyncio.run(main()))
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -45,6 +45,11 @@
     """The case can't run here; the script exits with 2."""
 
 
+def clean_up_on_sigterm() -> None:
+    """Have SIGTERM end the script like Ctrl-C, so that it ends the processes that it started."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+
+
 class Record:
     """Writes record.txt: what was sent, answered and run, with seconds since the start."""
 
