Derive the status of a refusal from its run state

What callers saw: at the end of a SIGTERM's grace period a VM answered 503, "not run", with Retry-After 0 to requests that must not be repeated and that replicas had run for seconds.

Cause: `refusal_reply` and `refusal_response` took the status from the error kind alone and dropped the run state, which the session had set to MAY_HAVE_RUN. The handler, which alone knows what was sent, was cancelled and could state nothing, so that a request that surely had not run could not be told from one that may have. Ruled out: a late rejection by the replica, and a connection still being opened; the record of the case shows both requests at work when they were refused. The log could not tell these apart, as a cancelled request was recorded as left by its caller; its line now names the shutdown and the run state.

Change: `errors.status_for` is the one place where a status that promises "not run" is checked against the run state; both kinds of responses use it. A cancelled handler raises `RequestCancelledError` with its response: 503 for a request that waits for a table, tokens or a connection, or that every replica rejected, else 502. Related paths with the same cause: a replica's own signed failure with 408, 429 or 503 was forwarded as a promise; a search whose subset was refused was "not run" although other shards had run it; a subset in progress counted as not run. The reverse: a request that waited for a connection until its deadline was 504, and is 503 now.

--- a/libs/decisions/berylspindle_decisions/hedged_request.py
+++ b/libs/decisions/berylspindle_decisions/hedged_request.py
@@ -208,6 +208,11 @@
             self._not_before = now + self._refusal_backoff
             self._refusal_backoff = min(REFUSAL_BACKOFF_MAX_S, 2 * self._refusal_backoff)
 
+    def on_withdrawn(self, attempt: AttemptRecord) -> None:
+        """Record an attempt that was withdrawn before any byte of it was sent."""
+        attempt.in_flight = False
+        attempt.end = AttemptOutcome.NOT_SENT
+
     def _step_hedge(self, now: float, policy: AttemptPolicy, runs: int) -> RequestStep:
         if now >= self._deadline:
             # Send no more attempts; the code that awaits the request ends it at its deadline.
--- a/libs/forwarding/berylspindle_forwarding/forward_daemon.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_daemon.py
@@ -12,7 +12,8 @@
             served, since the balancer takes one or two seconds to detect it and callers keep
             connections open
   drain     `BALANCER_DETECTION_S` later, or sooner if the grace period is too short for it: the
-            ports of callers and of relayed requests are closed, and pending requests are finished
+            ports of callers and of relayed requests are closed, and pending requests are finished;
+            those that are left are answered by whether they may have run
   close     everything is closed
 
 Guard: callers with an open connection send on it until a response asks them to close it. From the
@@ -137,6 +138,7 @@
                 refuse=self._refuse_unread,
             )
             self._stack.push_async_callback(self._relays.close, 0.0)
+        self._stack.callback(self._forwarder.front.begin_stop)
         self._forwarder.on_limits = self._set_limits
         self._forwarder.on_cut_off = self._callers.set_connection_close
         if self._edges.peers is not None:
@@ -158,7 +160,9 @@
         await asyncio.sleep(min(BALANCER_DETECTION_S, max(0.0, deadline - loop.time())))
         self._log_stage("drain")
         grace = max(0.1, deadline - loop.time())
-        await asyncio.gather(*(server.close(grace) for server in servers))
+        await asyncio.gather(*(server.finish(grace) for server in servers))
+        self._forwarder.front.begin_stop()
+        await asyncio.gather(*(server.close() for server in servers))
         self._log_stage("close")
         try:
             async with asyncio.timeout(WITHDRAW_TIMEOUT_S):
@@ -197,12 +201,16 @@
         )
 
     def _refuse_unread(self, refusal: Refusal) -> HttpResponse:
-        """Answer input that never became a request, or that the shutdown interrupted."""
+        """Answer input that never became a request, or a request without an outcome of its own."""
         self._metrics.count(names.FORWARD_REQUESTS, route="-", result=refusal.kind.value)
         if self._log_limiter.allow(asyncio.get_running_loop().time(), LineKind.REFUSED):
             self._log.info(
-                "request refused before it was read",
-                extra={"kind": refusal.kind.value, "detail": refusal.detail},
+                "request refused at the edge",
+                extra={
+                    "kind": refusal.kind.value,
+                    "run_state": refusal.run_state.value,
+                    "detail": refusal.detail,
+                },
             )
         else:
             self._metrics.count(names.LOG_LEFT_OUT, kind=LineKind.REFUSED.value)
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -5,13 +5,18 @@
 relays it; `handle_relayed` executes a request that another VM has relayed. Each outcome goes to
 `request_log`. A refusal becomes a response according to the common table of error kinds, with a
 retry-after header in seconds that may have a fraction.
+
+A handler is cancelled if its caller disconnects, and at the end of the shutdown's grace period. It
+then raises `RequestCancelledError` with a response by whether the request may have run, so that a
+caller is told "not run" only if that is certain.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from functools import partial
 from typing import Final
 
@@ -35,11 +40,11 @@
 from berylspindle_forwarding.request_trace import RequestTrace
 from berylspindle_forwarding.scatter_gather import ScatterGather
 from berylspindle_forwarding.subset_call import SubsetCall
-from berylspindle_model.errors import ANSWERS, ErrorKind, Refusal
+from berylspindle_model.errors import ANSWERS, ErrorKind, Refusal, RunState, status_for
 from berylspindle_model.key_faults import KeyFault
 from berylspindle_model.routing import Organisation, Route, RoutingTable
 from berylspindle_telemetry import metric_names as names
-from berylspindle_wire.http import HttpRequest, HttpResponse
+from berylspindle_wire.http import HttpRequest, HttpResponse, RequestCancelledError
 
 ANSWER_MARGIN_MS: Final = 12.0
 """Time before the deadline, in milliseconds, at which the last answer is sent: 3 ms for the way
@@ -64,8 +69,6 @@
 if it isn't. Awaited once for each request of a caller with a valid key, before it is admitted,
 relayed or sent to replicas; not awaited for relayed requests, which their origin has counted."""
 
-_CALLER_LEFT: Final = Refusal(ErrorKind.CANCELLED, "the caller disconnected")
-
 
 @attrs.frozen(kw_only=True)
 class RoutedRequest:
@@ -116,6 +119,7 @@
         self._table_known: Final = asyncio.Event()
         self._turns: dict[str, tuple[Route, WeightedRoundRobin]] = {}
         self._in_flight = 0
+        self._stopping = False
         self.last_request = float("-inf")
         self._request_log: Final = RequestLog(context.metrics, context.now, self._log_context)
 
@@ -134,6 +138,10 @@
         self._table = table
         self._table_known.set()
 
+    def begin_stop(self) -> None:
+        """Attribute cancellations to the shutdown from now on, no longer to callers."""
+        self._stopping = True
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request that arrived on the callers' port."""
         started = self.last_request = self._context.now()
@@ -171,7 +179,10 @@
         self, forward: ForwardRequest, request: HttpRequest, started: float
     ) -> HttpResponse:
         """Answer a caller's request."""
-        table_wait_ms = await self._await_table(forward) if self._table is None else 0.0
+        table_wait_ms = 0.0
+        if self._table is None:
+            with self._refused_if_cancelled(forward, started, RunState.NOT_RUN):
+                table_wait_ms = await self._await_table(forward)
         # A table that arrives while the request is in flight must not change its organisation.
         table = self._table
         if table is None:
@@ -197,7 +208,8 @@
             may_relay=self._relay_port is RelayPort.SEPARATE or not table.requires_key,
         )
         if forward.organisation is not None and self._admit_quota is not None:
-            excess = await self._admit_quota(forward.organisation, route, routed.times)
+            with self._refused_if_cancelled(forward, started, RunState.NOT_RUN, route):
+                excess = await self._admit_quota(forward.organisation, route, routed.times)
             if excess is not None:
                 elapsed_ms = (self._context.now() - started) * 1000
                 return self._refuse(
@@ -256,6 +268,24 @@
         )
         return refusal_reply(refusal, self._context.dialect.request_id, forward.request_id)
 
+    @contextmanager
+    def _refused_if_cancelled(
+        self, forward: ForwardRequest, started: float, run: RunState, route: Route | None = None
+    ) -> Iterator[None]:
+        """Refuse a request that is cancelled within this context, where its run state is `run`."""
+        try:
+            yield
+        except asyncio.CancelledError as cancellation:
+            elapsed_ms = (self._context.now() - started) * 1000
+            response = self._refuse(self._cancellation(run), forward, route, elapsed_ms=elapsed_ms)
+            raise RequestCancelledError(response) from cancellation
+
+    def _cancellation(self, run: RunState) -> Refusal:
+        """Return the refusal of a request that is cancelled now."""
+        if self._stopping:
+            return Refusal(ErrorKind.SHUTTING_DOWN, "the grace period is over", run)
+        return Refusal(ErrorKind.CANCELLED, "the caller disconnected", run)
+
     async def _await_table(self, forward: ForwardRequest) -> float:
         """Wait for the first routing table, and return the wait in milliseconds."""
         began = self._context.now()
@@ -277,11 +307,14 @@
         if isinstance(mode, Refusal):
             return self._refuse(mode, forward, routed.route)
         work = self._canary(routed) if mode is RunMode.CANARY else self._plain(routed)
-        outcome: HttpResponse | Refusal = _CALLER_LEFT
+        outcome: HttpResponse | Refusal = Refusal(ErrorKind.INTERNAL)
         try:
             outcome = await work.run()
+        except asyncio.CancelledError as cancellation:
+            outcome = self._cancellation(work.run_state)
+            response = refusal_reply(outcome, id_header, forward.request_id)
+            raise RequestCancelledError(response) from cancellation
         finally:
-            # This task is cancelled if the caller disconnects; the request is recorded anyway.
             self._record_end(routed, work, outcome)
             if mode is RunMode.CANARY:
                 self._context.crashes.record_inconclusive(forward)
@@ -345,9 +378,10 @@
         merger = self._relay.choose_merger(route.services, self._in_flight)
         if merger is None:
             return None
-        outcome = await self._relay.dispatch(
-            merger, forward, routed.relay_times, table=routed.table_version
-        )
+        with self._refused_if_cancelled(forward, started, RunState.MAY_HAVE_RUN, route):
+            outcome = await self._relay.dispatch(
+                merger, forward, routed.relay_times, table=routed.table_version
+            )
         if not isinstance(outcome, Refusal):
             return outcome
         elapsed_ms = (self._context.now() - started) * 1000
@@ -452,7 +486,7 @@
         headers.append((b"www-authenticate", b"Bearer"))
     answer = ANSWERS[refusal.kind]
     return HttpResponse(
-        status=_STATUS.get(refusal.kind, answer.status),
+        status=status_for(_STATUS.get(refusal.kind, answer.status), refusal.run_state),
         body=f"{refusal.kind.value}: {answer.text}\n".encode(),
         headers={"content-type": "text/plain"},
         raw_headers=tuple(headers),
--- a/libs/forwarding/berylspindle_forwarding/scatter_gather.py
+++ b/libs/forwarding/berylspindle_forwarding/scatter_gather.py
@@ -20,6 +20,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import math
 from collections.abc import Iterable, Sequence
 from typing import Final
@@ -39,7 +40,7 @@
 from berylspindle_forwarding.request_head import ForwardRequest, replica_request
 from berylspindle_forwarding.request_trace import RequestTrace
 from berylspindle_forwarding.subset_call import SubsetCall, refusal_of
-from berylspindle_model.errors import ErrorKind, Refusal, RunState
+from berylspindle_model.errors import NOT_RUN_STATUSES, ErrorKind, Refusal, RunState
 from berylspindle_model.routing import Route
 from berylspindle_wire.exchange import (
     ExchangeFailure,
@@ -113,6 +114,12 @@
         self._done: Final[asyncio.Future[HttpResponse | Refusal]] = self._loop.create_future()
         self._is_stepping = False
 
+    @property
+    def run_state(self) -> RunState:
+        """Return whether the request has run, as far as known."""
+        may_have_run = self._subset_may_have_run or any(r.may_have_run for r in self._hedged)
+        return RunState.MAY_HAVE_RUN if may_have_run else RunState.NOT_RUN
+
     @property
     def usual_ms(self) -> float:
         """Return the median latency of the route's sub-requests in milliseconds, 0 if unknown."""
@@ -179,10 +186,12 @@
         self._complete_or_wait()
 
     async def _request_subset(self, subset: SubsetCall) -> None:
+        self._subset_may_have_run = True
         outcome = await subset.send()
         if self._done.done():
             return
         if outcome is None:
+            self._subset_may_have_run = False
             self._start_services(subset.positions)
             return
         assert self._collector is not None
@@ -192,10 +201,10 @@
             self._detail = outcome.detail
             self._collector.add_lost(size)
         elif outcome.status == HTTP_REFUSED:
+            self._subset_may_have_run = False
             self._subset_refusal = refusal_of(outcome)
             self._collector.add_lost(size)
         elif outcome.status != HTTP_OK or not self._collector.add_subset(outcome, size):
-            self._subset_may_have_run = True
             self._detail = f"the VM merging the subset replied with status {outcome.status}"
             self._collector.add_lost(size)
         self._complete_or_wait()
@@ -334,6 +343,7 @@
                 continue
             if attempt.handle.pool.withdraw(attempt):
                 self._in_flight.discard(attempt)
+                self._hedged[attempt.index].on_withdrawn(attempt.record)
                 attempt.handle.health.on_not_sent(attempt)
 
     def _on_timer(self) -> None:
@@ -378,24 +388,25 @@
         if verdict is PartialResultVerdict.ANSWER:
             return self._collector.response(self._request.request_id)
         if verdict is PartialResultVerdict.FAIL and self._subset_refusal is not None:
-            return self._subset_refusal
+            return dataclasses.replace(self._subset_refusal, run=self.run_state)
         if verdict is PartialResultVerdict.FAIL or now >= self._times.answer_by:
             return self._refusal(now)
         return None
 
     def _plain_outcome(self, now: float) -> HttpResponse | Refusal | None:
         if self._reply is not None:
-            return self._to_response(self._reply)
+            return self._to_outcome(self._reply)
         if self._is_lost and self._failure is not None:
-            return self._to_response(self._failure)
+            return self._to_outcome(self._failure)
         if self._is_lost or now >= self._times.answer_by:
             return self._refusal(now)
         return None
 
     def _refusal(self, now: float) -> Refusal:
         """Return the refusal, which states whether any replica may have run the request."""
-        may_have_run = self._subset_may_have_run or any(r.may_have_run for r in self._hedged)
-        if not may_have_run:
+        # An attempt that still waits for a connection must not be sent after the refusal.
+        self._withdraw_waiting()
+        if self.run_state is RunState.NOT_RUN:
             return Refusal(
                 ErrorKind.NO_REPLICA,
                 self._detail,
@@ -408,6 +419,15 @@
             return Refusal(ErrorKind.INCOMPLETE, self._detail)
         return Refusal(ErrorKind.CONNECTION_LOST, self._detail)
 
+    def _to_outcome(self, reply: ExchangeReply) -> HttpResponse | Refusal:
+        """Return a replica's reply, or a refusal if its status would promise that it has not run.
+
+        A replica that has not run a request says so by a header, not by the status.
+        """
+        if not self._route.repeatable and reply.status in NOT_RUN_STATUSES:
+            return Refusal(ErrorKind.BACKEND_FAILED, self._detail)
+        return self._to_response(reply)
+
     def _to_response(self, reply: ExchangeReply) -> HttpResponse:
         return HttpResponse(
             status=reply.status, body=reply.body, raw_headers=self._policy.end_to_end(reply)
@@ -415,6 +435,7 @@
 
     def _abandon_attempts(self, why: str) -> None:
         """Close attempts in flight; closing a connection stops the work at the replica."""
+        self._withdraw_waiting()
         now = self._context.now()
         for attempt in tuple(self._in_flight):
             self._in_flight.discard(attempt)
@@ -422,5 +443,3 @@
             self._policy.record_abandoned(now, attempt, elapsed_ms)
             if attempt.connection is not None:
                 attempt.connection.discard()
-            else:
-                attempt.handle.pool.withdraw(attempt)
--- a/libs/model/berylspindle_model/errors.py
+++ b/libs/model/berylspindle_model/errors.py
@@ -10,6 +10,9 @@
 Flow: the component that fails a request creates a `Refusal` of one kind; the edge looks the kind up
 in `ANSWERS` and writes the response. A component that knows the run state more precisely than the
 table sets it in the refusal; the edge never infers it.
+
+Guard: a caller repeats what must not run twice after a status of `NOT_RUN_STATUSES`. A response has
+such a status only if the run state is NOT_RUN; `status_for` replaces it otherwise.
 """
 
 from __future__ import annotations
@@ -70,6 +73,19 @@
     INTERNAL = "internal"
 
 
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+"""HTTP statuses that promise that the request has not run and never will."""
+
+_UNKNOWN_OUTCOME_STATUS: Final = 502
+
+
+def status_for(status: int, run: RunState) -> int:
+    """Return `status`, or 502 if it promises that a request has not run that may have."""
+    if run is RunState.NOT_RUN or status not in NOT_RUN_STATUSES:
+        return status
+    return _UNKNOWN_OUTCOME_STATUS
+
+
 @dataclass(frozen=True, slots=True)
 class ErrorAnswer:
     """Response to the caller for one kind of error.
@@ -100,6 +116,11 @@
         """Return whether the request ran, as far as known."""
         return self.run if self.run is not None else ANSWERS[self.kind].run
 
+    @property
+    def status(self) -> int:
+        """Return the HTTP status, which agrees with the run state."""
+        return status_for(ANSWERS[self.kind].status, self.run_state)
+
     @property
     def retry_after(self) -> int | None:
         """Return the delay before a retry, in milliseconds, or None if a retry cannot succeed."""
--- a/libs/wire/berylspindle_wire/http.py
+++ b/libs/wire/berylspindle_wire/http.py
@@ -3,7 +3,8 @@
 Terms:
   request    method, target, headers and body, fully read and validated before it is handled
   response   status, headers and body, complete
-  handler    a coroutine from request to response; it is cancelled when its peer disconnects
+  handler    a coroutine from request to response; it is cancelled when its peer disconnects, and at
+             the end of the server's grace period
 
 Flow: `http_server.serve` reads requests from sockets and calls a handler; `http_client` sends
 requests and returns responses. Header names are lower case throughout.
@@ -11,6 +12,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -71,6 +73,18 @@
     raw_headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
+class RequestCancelledError(asyncio.CancelledError):
+    """Raised by a cancelled handler in place of CancelledError, with the response to send.
+
+    The response is sent if the peer is still connected. Only the handler knows whether the request
+    has run; without a response the server has to assume that it may have.
+    """
+
+    def __init__(self, response: HttpResponse) -> None:
+        super().__init__()
+        self.response: Final = response
+
+
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
--- a/libs/wire/berylspindle_wire/http_errors.py
+++ b/libs/wire/berylspindle_wire/http_errors.py
@@ -37,7 +37,7 @@
     if request_id:
         headers[REQUEST_ID_HEADER] = request_id
     return HttpResponse(
-        status=answer.status,
+        status=refusal.status,
         body=to_json(ErrorBody(error=details, request_id=request_id)),
         headers=headers,
     )
--- a/libs/wire/berylspindle_wire/http_server.py
+++ b/libs/wire/berylspindle_wire/http_server.py
@@ -6,8 +6,8 @@
 
 Flow: `serve` binds a socket; each connection becomes an `HttpSession` with its own task (see
 `http_session`). One sweeper task checks all sessions several times a second and closes those that
-exceed the read or idle timeout, which costs less than timers for each request. `close` lets
-requests in flight finish within a grace period before it cancels them.
+exceed the read or idle timeout, which costs less than timers for each request. `finish` lets
+requests in flight finish within a grace period; `close` cancels those that are left.
 """
 
 from __future__ import annotations
@@ -58,6 +58,7 @@
         self._no_sessions.set()
         self._acceptor: Acceptor | None = None
         self._port = 0
+        self._finishing = False
         self._closed = False
 
     @property
@@ -87,14 +88,11 @@
         """Send `Connection: close` from now on and close idle connections after a short time."""
         self._rules.draining = True
 
-    async def close(self, grace: float = 0.0) -> None:
-        """Stop accepting, let requests in flight finish for `grace` seconds, then cancel them.
-
-        A request cancelled by this is answered SHUTTING_DOWN with run state MAY_HAVE_RUN.
-        """
-        if self._closed:
+    async def finish(self, grace: float) -> None:
+        """Stop accepting, and let requests in flight finish for `grace` seconds."""
+        if self._finishing:
             return
-        self._closed = True
+        self._finishing = True
         self.begin_drain()
         if self._acceptor is not None:
             await self._acceptor.close()
@@ -102,7 +100,19 @@
             try:
                 await asyncio.wait_for(self._no_sessions.wait(), grace)
             except TimeoutError:
+                # `close` cancels the requests that are left.
                 pass
+
+    async def close(self, grace: float = 0.0) -> None:
+        """Stop accepting, let requests in flight finish for `grace` seconds, then cancel them.
+
+        A request cancelled by this is answered with the response of its handler, if it states one
+        by `RequestCancelledError`, else SHUTTING_DOWN with run state MAY_HAVE_RUN.
+        """
+        if self._closed:
+            return
+        self._closed = True
+        await self.finish(grace)
         for session in tuple(self._sessions):
             session.stop()
         await self._no_sessions.wait()
--- a/libs/wire/berylspindle_wire/http_session.py
+++ b/libs/wire/berylspindle_wire/http_session.py
@@ -23,7 +23,13 @@
 import h11
 
 from berylspindle_model.errors import ErrorKind, Refusal, RefusalError, RunState
-from berylspindle_wire.http import Handler, HttpLimits, HttpRequest, HttpResponse
+from berylspindle_wire.http import (
+    Handler,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    RequestCancelledError,
+)
 from berylspindle_wire.http_errors import refusal_response
 from berylspindle_wire.http_head import (
     HEAD_END,
@@ -217,7 +223,7 @@
         self._unwritten_bytes = unwritten_bytes
 
     def stop(self) -> None:
-        """Cancel the request in flight, answer it SHUTTING_DOWN and close."""
+        """Cancel the request in flight, answer it by its run state and close."""
         if self._task is not None:
             self._task.cancel()
 
@@ -250,20 +256,29 @@
             await self._lingering_close()
         except _PeerClosedError:
             pass
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as cancellation:
             # Either the peer disconnected, and no answer is needed, or the server's grace period is
-            # over. The handler may have dispatched work before it was cancelled; a request that is
-            # still being read has not run.
-            if self._is_handling and not self._peer_closed:
-                self._write(self._rules.refuse(_SHUTDOWN_REFUSAL), close=True)
-            elif self._reading_since is not None and not self._peer_closed:
-                self._write(self._rules.refuse(Refusal(ErrorKind.SHUTTING_DOWN)), close=True)
+            # over.
+            response = self._response_to(cancellation)
+            if response is not None and not self._peer_closed:
+                self._write(response, close=True)
         except Exception as error:
             self._rules.on_fault(error)
         finally:
             self._closing_since = self._loop.time()
             self._transport.close()
 
+    def _response_to(self, cancellation: asyncio.CancelledError) -> HttpResponse | None:
+        """Return the response to a request that was cancelled, or None if there is no request."""
+        if isinstance(cancellation, RequestCancelledError):
+            return cancellation.response
+        if self._is_handling:
+            # The handler may have dispatched work before it was cancelled.
+            return self._rules.refuse(_SHUTDOWN_REFUSAL)
+        if self._reading_since is not None:
+            return self._rules.refuse(Refusal(ErrorKind.SHUTTING_DOWN))
+        return None
+
     async def _serve_one(self) -> bool:
         """Serve one request and return whether the connection can carry another."""
         request = await self._read_request()
