Send no attempt on a connection of an earlier attempt

Cause: all attempts of a request have its id, and the pool handed the connection of a rejected attempt to the next one. There the late copy of the first rejection was taken for the reply to the second attempt, which was running: "not run", so a third was sent. The record of the case shows rejection, run, copy and second run on one connection. Ruled out: a withdrawn attempt that was sent after all, and a rejection counted for another request, whose id differs.

Change: an exchange's sink says which connections it allows. An attempt allows none that carried an earlier attempt of its request, so that on each connection the id stands for one attempt. The rejected connection stays open for other requests. If all connections are open and only a used one is free, that one is replaced, at once or after 50 ms in which the exchange of another request may end; a request that may be repeated takes it as a last resort, as a connect loads a full replica. A request with a body is no longer sent on a connection with unread bytes: the check looked for its end only, and a copy already in the kernel was read as the reply. The stand-in replica sends late copies of rejections, and its rejections have the request's id.

--- a/libs/forwarding/berylspindle_forwarding/attempt.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt.py
@@ -7,6 +7,7 @@
 from berylspindle_decisions.hedged_request import AttemptRecord
 from berylspindle_forwarding.replica_registry import ReplicaHandle
 from berylspindle_wire.exchange import (
+    ConnectionUse,
     ExchangeConnection,
     ExchangeFailure,
     ExchangeReply,
@@ -15,7 +16,11 @@
 
 
 class AttemptOwner(abc.ABC):
-    """Receive the outcome of attempts; each ends with exactly one of the two calls."""
+    """Receive the outcome of attempts; each ends with exactly one of the two `on_` calls."""
+
+    @abc.abstractmethod
+    def connection_use(self, connection: ExchangeConnection) -> ConnectionUse:
+        """Return whether an attempt may be sent on a connection."""
 
     @abc.abstractmethod
     def on_reply(self, attempt: Attempt, reply: ExchangeReply) -> None:
@@ -55,6 +60,10 @@
         self.waited_for_connection = False
         self.connection: ExchangeConnection | None = None
 
+    def connection_use(self, connection: ExchangeConnection) -> ConnectionUse:
+        """Return whether the owner allows this attempt on a connection."""
+        return self._owner.connection_use(connection)
+
     def on_connection_assigned(self, connection: ExchangeConnection) -> None:
         """Store the connection that carries the request."""
         self.connection = connection
--- a/libs/forwarding/berylspindle_forwarding/relay.py
+++ b/libs/forwarding/berylspindle_forwarding/relay.py
@@ -48,6 +48,7 @@
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.metrics import Metrics
 from berylspindle_wire.exchange import (
+    ConnectionUse,
     ExchangeConnection,
     ExchangeFailure,
     ExchangeFailureKind,
@@ -122,6 +123,10 @@
         self.done: Final[asyncio.Future[ExchangeReply | ExchangeFailure]] = loop.create_future()
         self.connection: ExchangeConnection | None = None
 
+    def connection_use(self, connection: ExchangeConnection) -> ConnectionUse:
+        """Allow each connection: a merger is a VM, which sends one reply to each request."""
+        return ConnectionUse.ALLOWED
+
     def on_connection_assigned(self, connection: ExchangeConnection) -> None:
         """Store the connection that carries the request."""
         self.connection = connection
--- a/libs/forwarding/berylspindle_forwarding/replica_pool.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_pool.py
@@ -4,10 +4,13 @@
   free      a connection that can carry a request now
   waiting   requests for which no connection is free yet
 
-Flow: `submit` sends on the most recently used free connection; otherwise the request waits for the
-first connection that becomes free or is opened. A failed connect ends all waiting requests as
-NOT_SENT, because the replica accepts no connections and another one may. `fail_waiting` does the
-same for a replica that must get no more requests. `withdraw` removes a request that still waits.
+Flow: `submit` sends on the most recently used free connection that the request allows; otherwise
+the request waits for the first one that becomes free or is opened. If no more can be opened and
+only a connection that it does not allow is free, it takes that as a last resort, or another one is
+opened in its place: at once if it allows none of the open ones, else after `MAX_EXCHANGE_WAIT_S`.
+A failed connect ends all waiting requests as NOT_SENT, because the replica accepts no connections
+and another one may. `fail_waiting` does the same for a replica that must get no more requests.
+`withdraw` removes a request that still waits.
 
 Guards: a request states the time left to its caller and may wait for a connection, so it is built
 only when a connection can carry it. A replica accepts a limited number of connections from all VMs
@@ -24,6 +27,7 @@
 import attrs
 
 from berylspindle_wire.exchange import (
+    ConnectionUse,
     ExchangeConnection,
     ExchangeFailure,
     ExchangeFailureKind,
@@ -34,6 +38,10 @@
 
 BuildRequest = Callable[[], ExchangeRequest]
 
+MAX_EXCHANGE_WAIT_S: Final = 0.05
+"""Seconds for which a request waits for the exchange of another one before a connection is replaced
+for it. A connect occupies a slot of the replica, and an exchange that ends frees one."""
+
 IDLE_CHECK_AFTER_S: Final = 0.5
 """Idle time in seconds after which a connection is checked for closure by the peer before reuse;
 replicas close idle connections after several seconds."""
@@ -53,6 +61,15 @@
     most_bytes: int = 4 * 1024 * 1024
 
 
+@attrs.frozen(eq=False)
+class _WaitingRequest:
+    """A request without a connection; it waits since a time of the event loop's clock."""
+
+    build: BuildRequest
+    sink: ExchangeSink
+    since: float
+
+
 class ReplicaPool:
     """At most `limit` connections to one address; requires a running event loop."""
 
@@ -72,7 +89,8 @@
         self._loop: Final = asyncio.get_running_loop()
         self._open: Final[set[ExchangeConnection]] = set()
         self._free: Final[list[ExchangeConnection]] = []
-        self._waiting: Final[deque[tuple[BuildRequest, ExchangeSink]]] = deque()
+        self._waiting: Final[deque[_WaitingRequest]] = deque()
+        self._replacement_timer: asyncio.TimerHandle | None = None
         self._tasks: Final[set[asyncio.Task[None]]] = set()
         self._failures = 0
         self._closed = False
@@ -88,21 +106,22 @@
         `build` returns the request as of the time of sending. The connection of a request that
         waited is passed to `sink.on_connection_assigned`.
         """
-        while self._free:
-            connection, request = self._free.pop(), build()
+        while (connection := self._take_free(sink)) is not None:
+            request = build()
             if self._is_usable(connection, request):
                 connection.send(request, sink)
                 return connection
             connection.close()
-        self._waiting.append((build, sink))
+        self._waiting.append(_WaitingRequest(build, sink, self._loop.time()))
         self._open_more()
+        self._serve_last_resort()
         return None
 
     def withdraw(self, sink: ExchangeSink) -> bool:
         """Remove a request that waits for a connection; return False if it doesn't wait."""
-        for entry in self._waiting:
-            if entry[1] is sink:
-                self._waiting.remove(entry)
+        for waiting in self._waiting:
+            if waiting.sink is sink:
+                self._waiting.remove(waiting)
                 return True
         return False
 
@@ -110,8 +129,8 @@
         """End all requests that wait for a connection as NOT_SENT."""
         ended, waiting = ExchangeFailure(ExchangeFailureKind.NOT_SENT, detail), list(self._waiting)
         self._waiting.clear()
-        for _, sink in waiting:
-            sink.on_failure(ended)
+        for one in waiting:
+            one.sink.on_failure(ended)
 
     def warm_up(self) -> None:
         """Open a connection in advance unless one is open or being opened."""
@@ -120,7 +139,7 @@
 
     async def is_reachable(self) -> bool:
         """Return whether the address accepts a connection; a new one stays in the pool."""
-        if any(not connection.is_closed_by_peer() for connection in self._free):
+        if any(not connection.is_disturbed() for connection in self._free):
             return True
         if self._closed:
             return False
@@ -133,6 +152,8 @@
     async def close(self) -> None:
         """Close all connections, and end the requests in flight and those that wait."""
         self._closed = True
+        if self._replacement_timer is not None:
+            self._replacement_timer.cancel()
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -146,16 +167,24 @@
         return not self._waiting and len(self._free) == len(self._open)
 
     def _is_usable(self, connection: ExchangeConnection, request: ExchangeRequest) -> bool:
-        """Return whether a connection may carry a request.
+        """Return whether a free connection can carry a request.
 
-        Checking for closure by the peer costs a system call. It is skipped on a recently used
-        connection for a request without a body, which can be sent again.
+        Checking for unread input costs a system call. It is skipped on a recently used connection
+        for a request without a body, which can be sent again.
         """
         if not connection.is_free:
             return False
         if not request.body and connection.idle_for() < IDLE_CHECK_AFTER_S:
             return True
-        return not connection.is_closed_by_peer()
+        return not connection.is_disturbed()
+
+    def _take_free(self, sink: ExchangeSink) -> ExchangeConnection | None:
+        """Remove and return the most recently used free connection that a request allows."""
+        for connection in reversed(self._free):
+            if sink.connection_use(connection) is ConnectionUse.ALLOWED:
+                self._free.remove(connection)
+                return connection
+        return None
 
     def _open_more(self) -> None:
         while len(self._waiting) > len(self._tasks) and self.open_connections < self.limit:
@@ -193,12 +222,50 @@
             if not self._closed:
                 self._open_more()
             return
-        while self._waiting:
-            build, sink = self._waiting.popleft()
-            sink.on_connection_assigned(connection)
-            connection.send(build(), sink)
+        if not self._send_next(connection, ConnectionUse.ALLOWED):
+            self._free.append(connection)
+            self._serve_last_resort()
+
+    def _send_next(self, connection: ExchangeConnection, use: ConnectionUse) -> bool:
+        """Send the first waiting request with this use of a connection, if there is one."""
+        for waiting in self._waiting:
+            if waiting.sink.connection_use(connection) is use:
+                self._waiting.remove(waiting)
+                waiting.sink.on_connection_assigned(connection)
+                connection.send(waiting.build(), waiting.sink)
+                return True
+        return False
+
+    def _serve_last_resort(self) -> None:
+        """Serve a request that waits although a connection is free, if no more can be opened."""
+        if not self._waiting or not self._free or self._tasks or self._closed:
+            return
+        if self.open_connections < self.limit:
+            return
+        connection = self._free.pop()
+        is_usable = connection.is_free and not connection.is_disturbed()
+        if is_usable and self._send_next(connection, ConnectionUse.LAST_RESORT):
+            return
+        due = min(map(self._replacement_due, self._waiting))
+        if is_usable and due > self._loop.time():
+            self._free.append(connection)
+            self._set_replacement_timer(due)
             return
-        self._free.append(connection)
+        # Its end opens another one.
+        connection.close()
+
+    def _replacement_due(self, waiting: _WaitingRequest) -> float:
+        """Return when a connection is replaced for a request that can use no free one."""
+        is_served_later = any(
+            waiting.sink.connection_use(connection) is ConnectionUse.ALLOWED
+            for connection in self._open
+        )
+        return waiting.since + (MAX_EXCHANGE_WAIT_S if is_served_later else 0.0)
+
+    def _set_replacement_timer(self, due: float) -> None:
+        if self._replacement_timer is not None:
+            self._replacement_timer.cancel()
+        self._replacement_timer = self._loop.call_at(due, self._serve_last_resort)
 
 
 class RetiredPools:
--- a/libs/forwarding/berylspindle_forwarding/scatter_gather.py
+++ b/libs/forwarding/berylspindle_forwarding/scatter_gather.py
@@ -15,6 +15,10 @@
 finish, since closing a connection during an exchange costs a new connection, and their outcomes
 still update replica statistics. If the caller disconnects, they are closed, which stops their work
 at the replicas.
+
+Guard: all attempts of a request have its id. An attempt therefore uses no connection of an earlier
+one, on which a late copy of the earlier reply would be taken for its own: a copied rejection would
+count as "not run" for an attempt that runs. A repeatable request may do so as a last resort.
 """
 
 from __future__ import annotations
@@ -43,6 +47,8 @@
 from berylspindle_model.errors import NOT_RUN_STATUSES, ErrorKind, Refusal, RunState
 from berylspindle_model.routing import Route
 from berylspindle_wire.exchange import (
+    ConnectionUse,
+    ExchangeConnection,
     ExchangeFailure,
     ExchangeFailureKind,
     ExchangeReply,
@@ -96,6 +102,7 @@
         ]
         self._next_step_at: Final = [times.deadline] * len(services)
         self._in_flight: Final[set[Attempt]] = set()
+        self._used_connections: Final[set[ExchangeConnection]] = set()
         self._collector: Final = (
             PartCollector(route.shard_set, context.dialect) if route.shard_set is not None else None
         )
@@ -209,10 +216,16 @@
             self._collector.add_lost(size)
         self._complete_or_wait()
 
+    def connection_use(self, connection: ExchangeConnection) -> ConnectionUse:
+        """Return whether an attempt may be sent on a connection."""
+        if connection not in self._used_connections:
+            return ConnectionUse.ALLOWED
+        return ConnectionUse.LAST_RESORT if self._route.repeatable else ConnectionUse.FORBIDDEN
+
     def on_reply(self, attempt: Attempt, reply: ExchangeReply) -> None:
         """Handle a complete reply to an attempt."""
         now = self._context.now()
-        self._in_flight.discard(attempt)
+        self._on_ended(attempt)
         self._policy.record_load(now, attempt.handle, reply)
         verdict = classify(reply, self._request, self._context.dialect)
         if verdict is ReplyClass.FOREIGN and attempt.connection is not None:
@@ -234,7 +247,7 @@
     def on_end(self, attempt: Attempt, end: ExchangeFailure) -> None:
         """Handle the end of an attempt without a reply."""
         now = self._context.now()
-        self._in_flight.discard(attempt)
+        self._on_ended(attempt)
         self._policy.record_end(now, attempt, end)
         if end.kind is ExchangeFailureKind.LOST:
             elapsed_ms = (now - attempt.record.sent_at) * 1000
@@ -250,6 +263,11 @@
         self._hedged[attempt.index].on_failure(now, attempt.record, attempt_end, refused=False)
         self._advance(attempt.index)
 
+    def _on_ended(self, attempt: Attempt) -> None:
+        self._in_flight.discard(attempt)
+        if attempt.connection is not None:
+            self._used_connections.add(attempt.connection)
+
     def _accept(self, reply: ExchangeReply) -> None:
         if self._collector is None:
             self._reply = reply
--- a/libs/standins/berylspindle_standins/forward_replica.py
+++ b/libs/standins/berylspindle_standins/forward_replica.py
@@ -65,6 +65,8 @@
         reply_fault: fault of the next answers; None for none.
         faulty_replies: number of answers with that fault; -1 means all.
         refused_requests: number of requests to refuse without running them; -1 means all.
+        refusal_copy_delay_s: time after which a second copy of a refusal follows on the connection;
+            None for no copy.
         failed_requests: number of requests that run and then fail; -1 means all.
         failure_status: status of a request that runs and then fails.
         misdirected: whether to answer as misdirected, like another replica at the same address.
@@ -79,6 +81,7 @@
     reply_fault: ReplyFault | None = None
     faulty_replies: int = 0
     refused_requests: int = 0
+    refusal_copy_delay_s: float | None = None
     failed_requests: int = 0
     failure_status: int = 500
     misdirected: bool = False
@@ -239,11 +242,11 @@
         if behaviour.refused_requests or self._slots.full:
             behaviour.refused_requests -= behaviour.refused_requests > 0
             self.counts.refused += 1
-            self._write(writer, self._empty_response(503, (self._dialect.not_run.decode(), "1")))
+            self._refuse(writer, headers)
             return True
         time_left = headers.get(self._dialect.time_left.decode(), "")
         if not await self._slots.acquire(int(time_left) / 1000 if time_left.isdigit() else None):
-            self._write(writer, self._empty_response(503, (self._dialect.not_run.decode(), "1")))
+            self._refuse(writer, headers)
             return True
         try:
             return await self._run(target, headers, body, writer)
@@ -278,6 +281,16 @@
         behaviour.faulty_replies -= behaviour.faulty_replies > 0
         return await self._write_faulty(writer, answer, fault)
 
+    def _refuse(self, writer: asyncio.StreamWriter, headers: dict[str, str]) -> None:
+        id_header = self._dialect.request_id.decode()
+        refusal = self._empty_response(
+            503, (self._dialect.not_run.decode(), "1"), (id_header, headers.get(id_header, ""))
+        )
+        self._write(writer, refusal)
+        delay = self.behaviour.refusal_copy_delay_s
+        if delay is not None:
+            asyncio.get_running_loop().call_later(delay, writer.write, refusal)
+
     def _consume_fault(self, fault: ReplyFault) -> bool:
         behaviour = self.behaviour
         if behaviour.reply_fault is not fault or not behaviour.faulty_replies:
--- a/libs/wire/berylspindle_wire/exchange.py
+++ b/libs/wire/berylspindle_wire/exchange.py
@@ -28,7 +28,7 @@
 import attrs
 import h11
 
-from berylspindle_wire.sockets import enable_dead_path_detection, peer_has_closed
+from berylspindle_wire.sockets import enable_dead_path_detection, has_input
 
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0
 """Seconds for which an idle connection is reused if its peer announces no timeout: common servers
@@ -87,9 +87,29 @@
     body: bytes = b""
 
 
+class ConnectionUse(enum.Enum):
+    """Whether a connection may carry a request.
+
+    LAST_RESORT: only if the request can get no other connection to the same peer.
+    """
+
+    ALLOWED = "allowed"
+    LAST_RESORT = "last_resort"
+    FORBIDDEN = "forbidden"
+
+
 class ExchangeSink(abc.ABC):
     """Receiver of the result of an exchange: `on_reply` or `on_failure` is called exactly once."""
 
+    @abc.abstractmethod
+    def connection_use(self, connection: ExchangeConnection) -> ConnectionUse:
+        """Return whether the request may be sent on a connection.
+
+        A peer may send a second copy of a reply late, in place of the reply to the next request on
+        the connection. A request id tells it from the reply to another request, not from the reply
+        to another attempt of the same one.
+        """
+
     @abc.abstractmethod
     def on_reply(self, reply: ExchangeReply) -> None:
         """Handle a complete reply."""
@@ -155,9 +175,9 @@
         """Return the seconds since the last complete reply, or since the connect before any."""
         return self._now() - self._idle_since
 
-    def is_closed_by_peer(self) -> bool:
-        """Ask the kernel whether the peer has closed the connection, even if not yet read."""
-        return peer_has_closed(self._transport.get_extra_info("socket"))
+    def is_disturbed(self) -> bool:
+        """Ask the kernel whether the idle peer has sent bytes or closed, even if not yet read."""
+        return has_input(self._transport.get_extra_info("socket"))
 
     def send(self, request: ExchangeRequest, sink: ExchangeSink) -> None:
         """Write one request; the connection must be free. Raise ValueError for an invalid request,
