Wait before a replica that refused is asked again

Cause: the first refusal of a request was rerouted at once even if the only replica left was the one that had refused a millisecond before. It refused again, and each further attempt of a request that must not be repeated needs a connection of its own.

Change: a replica that has refused is asked again only after the backoff that a second refusal already had; a replica that has not is still asked at once.

--- a/libs/decisions/berylspindle_decisions/hedged_request.py
+++ b/libs/decisions/berylspindle_decisions/hedged_request.py
@@ -13,7 +13,8 @@
 Limits: a request that is not idempotent gets a second attempt only if the first has certainly not
 run. Hedges and retries together never exceed the route's limit on runs. Refused attempts load the
 service as well, so the backoff after refusals doubles from `REFUSAL_BACKOFF_MIN_S`, the time in
-which a replica drains a queue of twenty requests. The same backoff applies where all replicas
+which a replica drains a queue of twenty requests. A first refusal is rerouted at once, but only to
+a replica that has not refused. The same backoff applies where all replicas
 refuse connections. A request that is denied retry budget for `BUDGET_WAIT_MAX_S` fails, so that its
 caller can still retry elsewhere.
 """
@@ -156,7 +157,7 @@
         self._refusal_backoff = REFUSAL_BACKOFF_MIN_S
         self._hedge_at = math.inf
         self._budget_denied_since = math.inf
-        self._reconnect_at = -math.inf
+        self._same_replica_at = -math.inf
         self._reconnect_backoff = REFUSAL_BACKOFF_MIN_S
 
     @property
@@ -199,12 +200,14 @@
         attempt.in_flight = False
         attempt.end = end
         if end is AttemptOutcome.NOT_SENT:
-            self._reconnect_at = now + self._reconnect_backoff
+            self._same_replica_at = now + self._reconnect_backoff
             self._no_replica_deadline = max(self._no_replica_deadline, now + self._no_replica_wait)
+        if refused:
+            self._same_replica_at = now + self._refusal_backoff
         if not refused or any(other.in_flight for other in self.attempts):
             return
         if {other.replica for other in self.attempts if other is not attempt}:
-            # The first refusal is rerouted at once; a second one indicates an overloaded service.
+            # A second refusal indicates an overloaded service, so no replica is asked at once.
             self._not_before = now + self._refusal_backoff
             self._refusal_backoff = min(REFUSAL_BACKOFF_MAX_S, 2 * self._refusal_backoff)
 
@@ -234,8 +237,8 @@
         replica = policy.pick_replica(self.service, tried=tried, hedge=False)
         if replica is None and tried != used:
             # Only replicas that refused or could not be reached are left.
-            if now < self._reconnect_at:
-                return WaitUntil(min(self._reconnect_at, self._deadline))
+            if now < self._same_replica_at:
+                return WaitUntil(min(self._same_replica_at, self._deadline))
             replica = policy.pick_replica(self.service, tried=used, hedge=False)
             self._reconnect_backoff = min(REFUSAL_BACKOFF_MAX_S, 2 * self._reconnect_backoff)
         if replica is None:
--- a/tests/decisions/test_load_hedged_request.py
+++ b/tests/decisions/test_load_hedged_request.py
@@ -102,6 +102,20 @@
     assert policy.taken == (end is AttemptOutcome.NOT_RUN)
 
 
+def test_a_replica_that_refused_is_asked_again_only_after_a_backoff() -> None:
+    """Guard against a retry that finds the same full queue and delays the next one."""
+    policy, request = ScriptedPolicy(), new_request(repeatable=False, deadline=2.0)
+    policy.usable = {"r1"}
+    attempt = send(request, 0.0, policy, "first")
+    request.on_failure(0.001, attempt, AttemptOutcome.NOT_RUN, refused=True)
+    step = request.step(0.001, policy)
+    assert isinstance(step, WaitUntil)
+    assert step.time == pytest.approx(0.001 + hedged_request.REFUSAL_BACKOFF_MIN_S)
+    # A replica that appears meanwhile is asked at once.
+    policy.usable.add("r2")
+    send(request, 0.002, policy, "retry")
+
+
 def test_the_backoff_grows_while_all_replicas_refuse_connections() -> None:
     """Guard against a VM whose answers are all late while the three replicas of a shard are down.
 
