Bound the memory and work of replies without end

Cause: a reply was bounded by itself alone (head 16 KB by the parser's default, body 4 MB). A search over many shards could hold all of them at once, and a body in chunks of one byte kept the event loop busy for seconds, since each chunk is an event of its own.

Change: `ReplyBody` collects a body within a size and a mean size of its parts; `ReplyMemory` limits the unfinished bodies of all connections to replicas and mergers of a VM to 32 MB and breaks off the largest, so that sound replies stay. The limit of a head has a name. A reply that trickles ends with its request, as before.

--- a/libs/forwarding/berylspindle_forwarding/relay.py
+++ b/libs/forwarding/berylspindle_forwarding/relay.py
@@ -339,7 +339,11 @@
         found = self._pools.get(address)
         if found is None:
             found = self._pools[address] = ReplicaPool(
-                *address, limit=MAX_CONNECTIONS, options=PoolOptions(), on_opened=lambda: None
+                *address,
+                limit=MAX_CONNECTIONS,
+                options=PoolOptions(),
+                memory=self._registry.reply_memory,
+                on_opened=lambda: None,
             )
         return found
 
--- a/libs/forwarding/berylspindle_forwarding/replica_pool.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_pool.py
@@ -35,6 +35,7 @@
     ExchangeSink,
     open_exchange_connection,
 )
+from berylspindle_wire.reply_body import ReplyMemory
 
 BuildRequest = Callable[[], ExchangeRequest]
 
@@ -80,10 +81,13 @@
         *,
         limit: int,
         options: PoolOptions,
+        memory: ReplyMemory,
         on_opened: Callable[[], None],
     ) -> None:
+        """Initialize; `memory` limits the unfinished replies of all pools of this VM together."""
         self._address: Final = (host, port)
         self._options: Final = options
+        self._memory: Final = memory
         self._on_opened: Final = on_opened
         self.limit = max(1, limit)
         self._loop: Final = asyncio.get_running_loop()
@@ -201,6 +205,7 @@
                 *self._address,
                 timeout=self._options.connect_timeout,
                 max_reply_bytes=self._options.most_bytes,
+                memory=self._memory,
                 on_free=self._on_free,
             )
         except OSError as error:
--- a/libs/forwarding/berylspindle_forwarding/replica_registry.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_registry.py
@@ -37,6 +37,7 @@
 from berylspindle_forwarding.replica_pool import PoolOptions, ReplicaPool, RetiredPools
 from berylspindle_forwarding.rollouts import VersionRule
 from berylspindle_model.routing import Replica, RoutingTable
+from berylspindle_wire.reply_body import ReplyMemory
 
 CONNECTION_SHARE: Final = 0.9
 """Fraction of a replica's connections that all VMs together use. The rest is left for VMs that have
@@ -129,6 +130,7 @@
         self._table: RoutingTable | None = None
         self._retired: Final = RetiredPools()
         self.losses: Final = LossReports()
+        self.reply_memory: Final = ReplyMemory()
 
     def __len__(self) -> int:
         return len(self._handles)
@@ -359,6 +361,7 @@
             replica.port,
             limit=self._limit(replica),
             options=self._pool_options,
+            memory=self.reply_memory,
             on_opened=lambda: self._on_connection_opened(replica),
         )
         return ReplicaHandle(replica, health, pool)
--- a/libs/wire/berylspindle_wire/exchange.py
+++ b/libs/wire/berylspindle_wire/exchange.py
@@ -13,7 +13,8 @@
 A reply is delivered only if it is complete by its own framing. A connection with leftovers, with
 unwritten request bytes, or past the idle timeout announced by its peer is never used again, so that
 no reply can be taken for the reply to another request. Unacknowledged packets end the connection
-after a short timeout, since the path to a peer can fail without a reset.
+after a short timeout, since the path to a peer can fail without a reset. Heads and bodies without
+end are broken off by their size (`reply_body`); whoever sends a request bounds its time.
 """
 
 from __future__ import annotations
@@ -28,6 +29,12 @@
 import attrs
 import h11
 
+from berylspindle_wire.reply_body import (
+    UNCOUNTED_BYTES,
+    ReplyBody,
+    ReplyMemory,
+    ReplyReceiver,
+)
 from berylspindle_wire.sockets import enable_dead_path_detection, has_input
 
 DEFAULT_IDLE_TIMEOUT_S: Final = 4.0
@@ -38,6 +45,7 @@
 """Fraction of the peer's announced idle timeout within which a connection is reused; the rest
 covers the network delay and a busy event loop."""
 
+MAX_HEAD_BYTES: Final = 16 * 1024
 MAX_INFORMATIONAL: Final = 8
 
 _KEEP_ALIVE: Final = re.compile(rb"(?:^|[,;\s])timeout\s*=\s*(\d{1,9})", re.IGNORECASE)
@@ -123,7 +131,7 @@
         """Record the connection assigned to a request that waited for one."""
 
 
-class ExchangeConnection(asyncio.Protocol):
+class ExchangeConnection(asyncio.Protocol, ReplyReceiver):
     """One connection, created by `open_exchange_connection`. `on_free` is called when it can be
     used again or has ended."""
 
@@ -131,18 +139,18 @@
         self,
         *,
         now: Callable[[], float],
-        most_bytes: int,
+        max_reply_bytes: int,
+        memory: ReplyMemory,
         on_free: Callable[[ExchangeConnection], None],
     ) -> None:
         self._now: Final = now
-        self._max_reply_bytes: Final = most_bytes
+        self._memory: Final = memory
         self._on_free: Final = on_free
-        self._parser = h11.Connection(h11.CLIENT)
+        self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._transport: asyncio.Transport = cast(asyncio.Transport, None)
         self._sink: ExchangeSink | None = None
         self._head: h11.Response | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body: Final = ReplyBody(max_reply_bytes)
         self._informational = 0
         self._reply_started = False
         self._closed = False
@@ -202,6 +210,11 @@
         self._sink = None
         self.close()
 
+    def break_off(self, detail: str) -> None:
+        """Close the connection; the exchange in flight ends as BROKEN."""
+        self._transport.abort()
+        self._finish(detail, broken=True)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable kernel detection of a dead path."""
         self._transport = cast(asyncio.Transport, transport)
@@ -217,8 +230,7 @@
             self._parser.receive_data(data)
             self._read_events()
         except h11.RemoteProtocolError as error:
-            self._transport.abort()
-            self._finish(str(error), broken=True)
+            self.break_off(str(error))
 
     def eof_received(self) -> bool:
         """Complete a reply delimited by the end of the connection, or fail a truncated one."""
@@ -253,7 +265,7 @@
             if isinstance(event, h11.Response):
                 self._head = event
             elif isinstance(event, h11.Data):
-                self._add_body(bytes(event.data))
+                self._add_body(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._complete()
             elif isinstance(event, h11.InformationalResponse):
@@ -264,20 +276,23 @@
                 raise h11.RemoteProtocolError("reply truncated")
 
     def _add_body(self, part: bytes) -> None:
-        self._body.append(part)
-        self._body_bytes += len(part)
-        if self._body_bytes > self._max_reply_bytes:
-            raise h11.RemoteProtocolError("reply body exceeds the size limit")
+        self._body.add(part)
+        if self._body.size > UNCOUNTED_BYTES:
+            self._memory.update(self, self._body.size)
+
+    def _release_body(self) -> None:
+        if self._body.size > UNCOUNTED_BYTES:
+            self._memory.release(self)
+        self._body.clear()
 
     def _complete(self) -> None:
         head, sink = self._head, self._sink
         assert head is not None
         assert sink is not None
-        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
-        reply = ExchangeReply(head.status_code, tuple(head.headers), body)
+        reply = ExchangeReply(head.status_code, tuple(head.headers), self._body.content())
+        self._release_body()
         self._sink = self._head = None
-        self._body = []
-        self._body_bytes = self._informational = 0
+        self._informational = 0
         self._update_idle_timeout(reply)
         # The unwritten tail of a request would be read as the start of the next one.
         unwritten = self._transport.get_write_buffer_size() > 0
@@ -303,6 +318,7 @@
         """Notify the sink of the exchange in flight, if any, that there will be no reply."""
         newly_closed, self._closed = not self._closed, True
         sink, self._sink = self._sink, None
+        self._release_body()
         if sink is not None:
             is_broken = self._reply_started if broken is None else broken
             sink.on_failure(
@@ -320,14 +336,17 @@
     *,
     timeout: float,
     max_reply_bytes: int,
+    memory: ReplyMemory,
     on_free: Callable[[ExchangeConnection], None],
 ) -> ExchangeConnection:
-    """Connect within `timeout` seconds; `max_reply_bytes` limits the body of a reply. Raise
-    OSError, which includes TimeoutError."""
+    """Connect within `timeout` seconds; `max_reply_bytes` limits the body of a reply, `memory` all
+    unfinished ones. Raise OSError, which includes TimeoutError."""
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout):
         _, connection = await loop.create_connection(
-            lambda: ExchangeConnection(now=loop.time, most_bytes=max_reply_bytes, on_free=on_free),
+            lambda: ExchangeConnection(
+                now=loop.time, max_reply_bytes=max_reply_bytes, memory=memory, on_free=on_free
+            ),
             host,
             port,
         )
--- a/libs/wire/berylspindle_wire/http_client.py
+++ b/libs/wire/berylspindle_wire/http_client.py
@@ -23,6 +23,7 @@
 
 from berylspindle_wire.http import HttpLimits, HttpRequest, HttpResponse
 from berylspindle_wire.http_head import HEAD_END, framing_fault
+from berylspindle_wire.reply_body import ReplyBody
 from berylspindle_wire.sockets import enable_dead_path_detection, peer_has_closed
 
 _MAX_INFORMATIONAL: Final = 8
@@ -73,8 +74,7 @@
         self._raw_head = bytearray()
         self._head_checked = False
         self._informational = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body: Final = ReplyBody(limits.body_bytes)
         self._received_chunks = 0
         self._lost = False
         self._closed: Final[asyncio.Future[None]] = self._loop.create_future()
@@ -229,7 +229,7 @@
             elif isinstance(event, h11.Response):
                 self._head = event
             elif isinstance(event, h11.Data):
-                self._add_body(bytes(event.data))
+                self._body.add(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._complete()
                 return
@@ -243,12 +243,6 @@
         if self._informational > _MAX_INFORMATIONAL:
             raise h11.RemoteProtocolError("too many informational responses")
 
-    def _add_body(self, part: bytes) -> None:
-        self._body.append(part)
-        self._body_bytes += len(part)
-        if self._body_bytes > self._limits.body_bytes:
-            raise h11.RemoteProtocolError("reply body exceeds the size limit")
-
     def _complete(self) -> None:
         assert self._head is not None
         if self._parser.trailing_data[0]:
@@ -259,7 +253,7 @@
             headers[name] = f"{headers[name]}, {value}" if name in headers else value
         response = HttpResponse(
             status=self._head.status_code,
-            body=b"".join(self._body),
+            body=self._body.content(),
             headers=headers,
             close=self._parser.their_state is not h11.DONE,
         )
@@ -274,8 +268,7 @@
         self._head = None
         self._head_checked = False
         self._informational = 0
-        self._body = []
-        self._body_bytes = 0
+        self._body.clear()
         self._received_chunks = 0
         if self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE:
             self._parser.start_next_cycle()
--- a/tests/forwarding/test_late_copies.py
+++ b/tests/forwarding/test_late_copies.py
@@ -18,6 +18,7 @@
     ExchangeRequest,
     ExchangeSink,
 )
+from berylspindle_wire.reply_body import ReplyMemory
 
 COPY_DELAY_S = 0.03
 WORK_S = 0.1
@@ -123,7 +124,14 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
-    pool = ReplicaPool("127.0.0.1", port, limit=1, options=PoolOptions(), on_opened=lambda: None)
+    pool = ReplicaPool(
+        "127.0.0.1",
+        port,
+        limit=1,
+        options=PoolOptions(),
+        memory=ReplyMemory(),
+        on_opened=lambda: None,
+    )
     request = ExchangeRequest(b"POST", b"/", ((b"host", b"a"),), b"{}")
     for _ in range(2):
         sink = RecordingSink()
--- a/tests/wire/test_silent_paths.py
+++ b/tests/wire/test_silent_paths.py
@@ -7,6 +7,7 @@
 
 from berylspindle_wire.exchange import open_exchange_connection
 from berylspindle_wire.http_client import connect
+from berylspindle_wire.reply_body import ReplyMemory
 
 
 async def test_every_client_connection_enables_dead_path_detection() -> None:
@@ -20,7 +21,12 @@
     port = server.sockets[0].getsockname()[1]
     client = await connect("127.0.0.1", port, timeout=5)
     exchange = await open_exchange_connection(
-        "127.0.0.1", port, timeout=5, max_reply_bytes=100, on_free=lambda connection: None
+        "127.0.0.1",
+        port,
+        timeout=5,
+        max_reply_bytes=100,
+        memory=ReplyMemory(),
+        on_free=lambda connection: None,
     )
     for connection in (client, exchange):
         watched = connection._transport.get_extra_info("socket")
