--- a/libs/forwarding/berylspindle_forwarding/replica_pool.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_pool.py
@@ -143,7 +143,7 @@
 
     async def is_reachable(self) -> bool:
         """Return whether the address accepts a connection; a new one stays in the pool."""
-        if any(not connection.is_disturbed() for connection in self._free):
+        if any(not connection.has_unread_input() for connection in self._free):
             return True
         if self._closed:
             return False
@@ -180,7 +180,7 @@
             return False
         if not request.body and connection.idle_for() < IDLE_CHECK_AFTER_S:
             return True
-        return not connection.is_disturbed()
+        return not connection.has_unread_input()
 
     def _take_free(self, sink: ExchangeSink) -> ExchangeConnection | None:
         """Remove and return the most recently used free connection that a request allows."""
@@ -248,7 +248,7 @@
         if self.open_connections < self.limit:
             return
         connection = self._free.pop()
-        is_usable = connection.is_free and not connection.is_disturbed()
+        is_usable = connection.is_free and not connection.has_unread_input()
         if is_usable and self._send_next(connection, ConnectionUse.LAST_RESORT):
             return
         due = min(map(self._replacement_due, self._waiting))
--- a/libs/wire/berylspindle_wire/exchange.py
+++ b/libs/wire/berylspindle_wire/exchange.py
@@ -183,7 +183,7 @@
         """Return the seconds since the last complete reply, or since the connect before any."""
         return self._now() - self._idle_since
 
-    def is_disturbed(self) -> bool:
+    def has_unread_input(self) -> bool:
         """Ask the kernel whether the idle peer has sent bytes or closed, even if not yet read."""
         return has_input(self._transport.get_extra_info("socket"))
 
