--- a/libs/decisions/berylspindle_decisions/hedged_request.py
+++ b/libs/decisions/berylspindle_decisions/hedged_request.py
@@ -14,9 +14,9 @@
 run. Hedges and retries together never exceed the route's limit on runs. Refused attempts load the
 service as well, so the backoff after refusals doubles from `REFUSAL_BACKOFF_MIN_S`, the time in
 which a replica drains a queue of twenty requests. A first refusal is rerouted at once, but only to
-a replica that has not refused. The same backoff applies where all replicas
-refuse connections. A request that is denied retry budget for `BUDGET_WAIT_MAX_S` fails, so that its
-caller can still retry elsewhere.
+a replica that has not refused. The same backoff applies where all replicas refuse connections. A
+request that is denied retry budget for `BUDGET_WAIT_MAX_S` fails, so that its caller can still
+retry elsewhere.
 """
 
 from __future__ import annotations
--- a/tests/forwarding/forward_site.py
+++ b/tests/forwarding/forward_site.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import attrs
@@ -69,6 +69,13 @@
     return Route(**{**fields, **changes})
 
 
+async def until(condition: Callable[[], object], within_s: float = 5.0) -> None:
+    """Wait until a condition holds. Raises TimeoutError."""
+    async with asyncio.timeout(within_s):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
+
 class NoStore(Store):
     """A store that is never called; tests pass all changes to the forwarder themselves."""
 
--- a/tests/forwarding/test_endless_replies.py
+++ b/tests/forwarding/test_endless_replies.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Callable
-
 import pytest
-from forward_site import Site, merged_route, open_site, plain_route
+from forward_site import Site, merged_route, open_site, plain_route, until
 
 from berylspindle_forwarding.catalogue_changes import ReplicaChange
 from berylspindle_forwarding.scatter_gather import ABANDONED_ATTEMPT_GRACE_S
@@ -28,12 +25,6 @@
     site.forwarder.on_change(ReplicaChange(name, replica))
 
 
-async def until(condition: Callable[[], bool], within_s: float) -> None:
-    async with asyncio.timeout(within_s):
-        while not condition():  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
-
-
 @pytest.mark.parametrize("reply", EndlessReply)
 async def test_endless_reply_is_broken_off_by_its_size(reply: EndlessReply) -> None:
     """Guard against a VM that reads one reply until its memory is used up."""
--- a/tests/forwarding/test_late_copies.py
+++ b/tests/forwarding/test_late_copies.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from forward_site import Site, open_site, plain_route
+from forward_site import Site, open_site, plain_route, until
 
 from berylspindle_forwarding.replica_pool import PoolOptions, ReplicaPool
 from berylspindle_model.routing import ServiceRules
@@ -82,8 +82,7 @@
         replica = await open_booking(site, connections=3, repeatable=False)
         replica.behaviour.service_time_s = 1.5
         long_work = asyncio.create_task(site.ask("/booking/long", method="POST", body=b"{}"))
-        while not replica.counts.runs:  # noqa: ASYNC110
-            await asyncio.sleep(0.005)
+        await until(lambda: replica.counts.runs)
         replica.behaviour.service_time_s = 0.01
         replica.behaviour.refused_requests = 1
         response = await site.ask("/booking/2", method="POST", body=b"{}", left_ms=1000)
--- a/tests/forwarding/test_stop.py
+++ b/tests/forwarding/test_stop.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 import pytest
-from forward_site import Site, merged_route, open_site, plain_route
+from forward_site import Site, merged_route, open_site, plain_route, until
 from test_relay import TWELVE, open_halves
 
 from berylspindle_model.routing import ServiceRules
@@ -19,12 +18,6 @@
     return asyncio.create_task(site.ask(path, method="POST", body=b"{}", left_ms=left_ms))
 
 
-async def until(condition: Callable[[], object]) -> None:
-    async with asyncio.timeout(5):
-        while not condition():  # noqa: ASYNC110
-            await asyncio.sleep(0.005)
-
-
 async def end_grace_period(site: Site) -> None:
     site.forwarder.front.begin_stop()
     await site.server.close()
