Review case 6: a request that crashes replicas goes on to do so

Cause: a crash counts as new evidence only if its replica is not yet in the record, whichever start of that replica it was. The first event puts all usable replicas there, so no quarantine comes.

A service with three replicas, one zone of which is evacuated; a request that crashes each replica that begins it comes each 4 s, at any machine.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
+# disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+exec python3 review/6/case.py
