--- a/review/standins-2/small_site.py
+++ b/review/standins-2/small_site.py
@@ -672,6 +672,10 @@
     record.note(f"TROUBLE={int(trouble)}")
 
     async def play() -> bool:
+        playing = asyncio.current_task()
+        assert playing is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         site = Site(record)
         await site.store.start()
         try:
@@ -682,7 +686,8 @@
 
     try:
         held = asyncio.run(play())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # Whatever ends the script itself says nothing about the rule.
         record.note(f"the case could not run: {type(error).__name__} {error}")
         record.close()
         return 2
