Install the pinned libraries before the project's own packages

Cause: with --no-build-isolation pip builds hdrhistogram, which has no aarch64 wheel, before pbr is there; the result has version 0.0.0, which the pin refuses. The pinned libraries are now installed first, in a step of their own, and built as each of them declares.

Not run on x86-64, where wheels are used.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 $(STAMP): constraints.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install -q -r constraints.txt -r requirements-dev.txt
 	$(BIN)/pip install -q --no-build-isolation -c constraints.txt --config-settings editable_mode=compat $(foreach lib,$(LIBS),-e libs/$(lib)) -e platform
 	touch $(STAMP)
 
