Close the connections of raw servers in tests with the server

Cause: a StreamWriter does not close its connection when the peer does. Servers of tests that only accept kept theirs until they were collected, after their event loop was closed; StreamWriter.__del__ then raises, and pytest takes it for an error of whichever test runs next. The same finalizer, run while a traceback was formatted, called ast.parse within ast.parse, which on this Python ends with "AST constructor recursion depth mismatch" (shown by a script of ten lines).

Found with a plugin that lists the writers which are open when their loop is closed: the server for VMs that are cut off in the quota tests, and by reading four more that never close.

--- a/tests/forwarding/quota_fleet.py
+++ b/tests/forwarding/quota_fleet.py
@@ -10,6 +10,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 
 from forward_site import plain_route
+from raw_server import open_raw_server
 
 from berylspindle_decisions.quota_limits import ARRIVAL_LAG_S, QuotaBounds, quota_limit
 from berylspindle_forwarding.attempt_policy import RequestTimes
@@ -208,9 +209,7 @@
     """Open a fleet whose owners are not fresh."""
     async with AsyncExitStack() as stack:
         fleet = Fleet(vms, table_of(1, *(organisations or (ACME,))), bounds)
-        silent = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
-        stack.callback(silent.close)
-        fleet.nowhere = silent.sockets[0].getsockname()
+        fleet.nowhere = ("127.0.0.1", await stack.enter_async_context(open_raw_server()))
         for vm in fleet.vms.values():
             await vm.start()
             stack.push_async_callback(vm.stop)
--- a/tests/forwarding/test_late_copies.py
+++ b/tests/forwarding/test_late_copies.py
@@ -6,6 +6,7 @@
 
 import pytest
 from forward_site import Site, open_site, plain_route, until
+from raw_server import open_raw_server
 
 from berylspindle_forwarding.replica_pool import PoolOptions, ReplicaPool
 from berylspindle_model.routing import ServiceRules
@@ -121,23 +122,21 @@
             await reader.readexactly(2)
             writer.write(reply)
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    pool = ReplicaPool(
-        "127.0.0.1",
-        port,
-        limit=1,
-        options=PoolOptions(),
-        memory=ReplyMemory(),
-        on_opened=lambda: None,
-    )
-    request = ExchangeRequest(b"POST", b"/", ((b"host", b"a"),), b"{}")
-    for _ in range(2):
-        sink = RecordingSink()
-        if writers:
-            writers[0].write(reply)
-        pool.submit(lambda: request, sink)
-        assert isinstance(await sink.outcome, ExchangeReply)
-    assert len(writers) == 2
-    await pool.close()
-    server.close()
+    async with open_raw_server(serve) as port:
+        pool = ReplicaPool(
+            "127.0.0.1",
+            port,
+            limit=1,
+            options=PoolOptions(),
+            memory=ReplyMemory(),
+            on_opened=lambda: None,
+        )
+        request = ExchangeRequest(b"POST", b"/", ((b"host", b"a"),), b"{}")
+        for _ in range(2):
+            sink = RecordingSink()
+            if writers:
+                writers[0].write(reply)
+            pool.submit(lambda: request, sink)
+            assert isinstance(await sink.outcome, ExchangeReply)
+        assert len(writers) == 2
+        await pool.close()
--- a/tests/forwarding/test_relay.py
+++ b/tests/forwarding/test_relay.py
@@ -9,6 +9,7 @@
 import attrs
 import pytest
 from forward_site import DIALECT, Site, merged_route, open_site, plain_route
+from raw_server import open_raw_server
 
 from berylspindle_decisions.record_merge import top_records
 from berylspindle_forwarding.catalogue_changes import VmChange, VmEntry
@@ -168,18 +169,16 @@
                 site.route(merged_route(other, least=0.9))
             writer.write(b"HTTP/1.1 503 -\r\nx-relay-unrun: 1\r\ncontent-length: 0\r\n\r\n")
 
-        server = await asyncio.start_server(replace, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        entry = VmEntry(host="127.0.0.1", port=1, data_centre="a", callers_port=port, bears=9.0)
-        here.forwarder.on_change(VmChange("next", entry))
-        far = attrs.evolve(entry, data_centre="b", callers_port=there.server.port)
-        here.forwarder.on_change(VmChange("there", far))
-        path = "/lots/1"
-        response = await here.ask(path)
-        assert response.body == top_records([answer_body(shard, path) for shard in TWELVE], 5)
-        signed = response.headers[DIALECT.parts.decode()].split(", ")
-        assert len({signature.partition(".")[0] for signature in signed}) == 12
-        server.close()
+        async with open_raw_server(replace) as port:
+            entry = VmEntry(host="127.0.0.1", port=1, data_centre="a", callers_port=port, bears=9.0)
+            here.forwarder.on_change(VmChange("next", entry))
+            far = attrs.evolve(entry, data_centre="b", callers_port=there.server.port)
+            here.forwarder.on_change(VmChange("there", far))
+            path = "/lots/1"
+            response = await here.ask(path)
+            assert response.body == top_records([answer_body(shard, path) for shard in TWELVE], 5)
+            signed = response.headers[DIALECT.parts.decode()].split(", ")
+            assert len({signature.partition(".")[0] for signature in signed}) == 12
 
 
 async def test_shards_that_the_merger_lacks_are_counted_as_absent() -> None:
@@ -202,9 +201,7 @@
 
 async def test_request_with_a_silent_merger_fails_soon() -> None:
     """Guard against callers that wait for a dead merger until they have no time to retry."""
-    async with open_pair() as (small, _):
-        silent = await asyncio.start_server(lambda r, w: asyncio.sleep(3600), "127.0.0.1", 0)
-        port = silent.sockets[0].getsockname()[1]
+    async with open_pair() as (small, _), open_raw_server() as port:
         entry = VmEntry(host="127.0.0.1", port=port, data_centre="a", callers_port=port, bears=2.0)
         small.forwarder.on_change(VmChange("big", entry))
         small.route(merged_route(SHARDS, aim_ms=200))
@@ -213,7 +210,6 @@
         assert response.status == 502
         assert response.body.startswith(b"peer_lost")
         assert asyncio.get_running_loop().time() - started < 2.0
-        silent.close()
 
 
 async def test_late_merger_that_answers_a_probe_is_waited_for() -> None:
@@ -245,9 +241,7 @@
     Requests at the merger may still run, and a second fan-out would exceed the runs that the route
     allows, so they end at their deadline; later requests are not sent to it.
     """
-    async with open_pair() as (small, _):
-        silent = await asyncio.start_server(lambda r, w: asyncio.sleep(3600), "127.0.0.1", 0)
-        port = silent.sockets[0].getsockname()[1]
+    async with open_pair() as (small, _), open_raw_server() as port:
         entry = VmEntry(host="127.0.0.1", port=1, data_centre="a", callers_port=port, bears=2.0)
         small.forwarder.on_change(VmChange("big", entry))
         response = await small.ask("/lots/1", left_ms=300)
@@ -255,7 +249,6 @@
         response = await small.ask("/lots/2", left_ms=2000)
         assert response.status == 200
         assert services_with_sub_requests(small) == 3
-        silent.close()
 
 
 async def test_caller_disconnect_stops_the_work_at_the_replicas_of_the_merger() -> None:
@@ -281,15 +274,13 @@
             await reader.readuntil(b"\r\n\r\n")
             writer.transport.abort()
 
-        server = await asyncio.start_server(cut, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        entry = VmEntry(host="127.0.0.1", port=1, data_centre="a", callers_port=port, bears=2.0)
-        small.forwarder.on_change(VmChange("big", entry))
-        response = await small.ask("/lots/1")
-        assert response.status in (502, 504)
-        assert response.body.startswith(b"peer_lost")
-        assert (await small.ask("/lots/2")).status == 200
-        server.close()
+        async with open_raw_server(cut) as port:
+            entry = VmEntry(host="127.0.0.1", port=1, data_centre="a", callers_port=port, bears=2.0)
+            small.forwarder.on_change(VmChange("big", entry))
+            response = await small.ask("/lots/1")
+            assert response.status in (502, 504)
+            assert response.body.startswith(b"peer_lost")
+            assert (await small.ask("/lots/2")).status == 200
 
 
 async def test_connections_to_a_removed_vm_are_closed() -> None:
--- a/tests/wire/test_silent_paths.py
+++ b/tests/wire/test_silent_paths.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 
+from raw_server import open_raw_server
+
 from berylspindle_wire.exchange import open_exchange_connection
 from berylspindle_wire.http_client import connect
 from berylspindle_wire.reply_body import ReplyMemory
@@ -17,25 +18,23 @@
     reset. Only kernel keepalive probes detect that in time. Packets can't be dropped on loopback,
     so the test checks the socket options.
     """
-    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    client = await connect("127.0.0.1", port, timeout=5)
-    exchange = await open_exchange_connection(
-        "127.0.0.1",
-        port,
-        timeout=5,
-        max_reply_bytes=100,
-        memory=ReplyMemory(),
-        on_free=lambda connection: None,
-    )
-    for connection in (client, exchange):
-        watched = connection._transport.get_extra_info("socket")
-        idle = watched.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
-        step = watched.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL)
-        tries = watched.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT)
-        assert watched.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
-        # A VM counts as connected four seconds after a network partition has healed.
-        assert idle + step * tries <= 4
-        assert 0 < watched.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) <= 2000
-        connection.close()
-    server.close()
+    async with open_raw_server() as port:
+        client = await connect("127.0.0.1", port, timeout=5)
+        exchange = await open_exchange_connection(
+            "127.0.0.1",
+            port,
+            timeout=5,
+            max_reply_bytes=100,
+            memory=ReplyMemory(),
+            on_free=lambda connection: None,
+        )
+        for connection in (client, exchange):
+            watched = connection._transport.get_extra_info("socket")
+            idle = watched.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+            step = watched.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL)
+            tries = watched.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT)
+            assert watched.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+            # A VM counts as connected four seconds after a network partition has healed.
+            assert idle + step * tries <= 4
+            assert 0 < watched.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) <= 2000
+            connection.close()
