Go on following the store whatever an entry holds, and notice tasks that end

Callers saw: one entry of another writer, nested 2,000 deep, left all eight machines on the version that they had for good: 16 of 16 requests by the old version, 12 to 24 at replicas that drain.

Cause: msgspec raises RecursionError for the deep value of an unknown field, which no decoder expected; the error ended the task that follows the store and its task group, which nobody awaited. Ruled out: the watch, the mirrors and the revision of the entry; the traceback of a decode alone shows it.

Change: one decoder for JSON and MessagePack that raises MalformedError for deep values; numbers and ports are parsed in one place; invalid addresses are rejected, and raise OSError where one connects to them; an entry that fails is skipped and logged; long-lived tasks are supervised and started again, and a VM is not ready while its task for the store has failed. The same in the control plane, the data plane, the quota upkeep and the daemon. A table whose application failed was taken as in force; it is applied again.

--- a/libs/cli/berylspindle_cli/caller_commands.py
+++ b/libs/cli/berylspindle_cli/caller_commands.py
@@ -98,7 +98,7 @@
     data = read_file(Path(text[1:]), "the payload") if text.startswith("@") else text.encode()
     try:
         payload = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ToolError(ExitCode.USAGE, f"the payload is not JSON: {error}") from None
     if not isinstance(payload, dict):
         raise ToolError(ExitCode.USAGE, "the payload is not a JSON object")
--- a/libs/client/berylspindle_client/quotas.py
+++ b/libs/client/berylspindle_client/quotas.py
@@ -50,8 +50,7 @@
                 return
             try:
                 merger.add(_decode(response))
-            except (codec.MalformedError, RecursionError) as error:
-                # RecursionError: the decoder reports deep nesting by it.
+            except codec.MalformedError as error:
                 malformed[str(address)] = str(error)
 
     async with asyncio.TaskGroup() as group:
--- a/libs/controlplane/berylspindle_controlplane/control_plane.py
+++ b/libs/controlplane/berylspindle_controlplane/control_plane.py
@@ -42,6 +42,7 @@
 from berylspindle_model.topology import ClusterState, View, Vm
 from berylspindle_store.store import Store, StoreOutcomeUnknown, StoreUnavailable
 from berylspindle_store.vm_list import VmList
+from berylspindle_telemetry.supervisor import keep_running
 
 OnState = Callable[[ClusterState], None]
 OnEvent = Callable[[str, dict[str, str | int]], None]
@@ -192,10 +193,10 @@
 
     async def start(self) -> None:
         """Start the tasks, without waiting until `is_ready` or the join."""
-        self._spawn(self._run_ticker())
-        self._spawn(self._view_writer.run())
+        self._spawn(keep_running(self._run_ticker, self._on_fault))
+        self._spawn(keep_running(self._view_writer.run, self._on_fault))
         self._spawn(self._joiner.fetch_initial_state())
-        self._spawn(self._joiner.maintain_membership())
+        self._spawn(keep_running(self._joiner.maintain_membership, self._on_fault, may_end=True))
 
     async def leave(self) -> None:
         """Release all dispatch rights and leave the view; call this when no request is in flight.
@@ -290,7 +291,10 @@
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
-            self._on_event("internal_fault", {"detail": f"control plane: {error!r}"})
+            self._on_fault(error)
+
+    def _on_fault(self, error: BaseException) -> None:
+        self._on_event("internal_fault", {"detail": f"control plane: {error!r}"})
 
     def on_tick(self, now: float) -> None:
         """Run the actions that are due at time `now` of the loop; called ten times a second."""
@@ -393,7 +397,7 @@
         )
         watching = self._watch_task is not None and not self._watch_task.done()
         if should_watch and not watching:
-            self._watch_task = self._spawn(self._watcher.run())
+            self._watch_task = self._spawn(keep_running(self._watcher.run, self._on_fault))
         elif not should_watch and watching and self._watch_task is not None:
             self._watch_task.cancel()
 
--- a/libs/daemon/berylspindle_daemon/daemon.py
+++ b/libs/daemon/berylspindle_daemon/daemon.py
@@ -56,6 +56,7 @@
 from berylspindle_telemetry.metrics import Metrics
 from berylspindle_telemetry.process import measure_loop_lag, register_process_metrics
 from berylspindle_telemetry.stamping import MessageStamper
+from berylspindle_telemetry.supervisor import keep_running
 from berylspindle_telemetry.timeline import Timeline
 from berylspindle_wire.datagrams import DatagramPort, open_datagrams
 from berylspindle_wire.http import HttpLimits
@@ -118,7 +119,7 @@
         """Open all parts; raises OSError if an address can't be bound."""
         self.timeline.record(EventKind.STARTED, detail=self.me.data_centre)
         register_process_metrics(self.metrics)
-        self._start_background(measure_loop_lag(self.metrics))
+        self._start_background(keep_running(lambda: measure_loop_lag(self.metrics), self._on_fault))
         key = self._options.peer_key.reveal().encode() if self._options.peer_key else None
         platform, vm_list = await self._open_platform()
         store = InstrumentedStore(platform, self.metrics, self._observer.on_store_call)
@@ -147,7 +148,7 @@
         self._stack.push_async_callback(self.control.close)
         await self._serve_peers(key)
         await self.control.start()
-        self._start_background(self._poll_vm_list(vm_list))
+        self._start_background(keep_running(lambda: self._poll_vm_list(vm_list), self._on_fault))
         self._start_background(self._wait_for_ownership())
         await self._serve_operators()
         await self._serve_callers()
@@ -343,6 +344,11 @@
     def _start_background(self, operation: Coroutine[object, object, None]) -> None:
         task = asyncio.get_running_loop().create_task(operation)
         self._background.add(task)
+        task.add_done_callback(self._on_background_end)
+
+    def _on_background_end(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._on_fault(error)
 
     async def _wait_for_ownership(self) -> None:
         """Delay readiness until this VM may dispatch to the backend servers that it owns.
--- a/libs/dataplane/berylspindle_dataplane/plane.py
+++ b/libs/dataplane/berylspindle_dataplane/plane.py
@@ -10,7 +10,7 @@
 import random
 import secrets
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -39,6 +39,7 @@
 from berylspindle_store.claims import Claims
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.metrics import Metrics
+from berylspindle_telemetry.supervisor import keep_running
 from berylspindle_telemetry.timeline import Timeline
 from berylspindle_wire.http import HttpRequest, HttpResponse
 
@@ -95,8 +96,9 @@
         self._entry: Final = Entry(self._router, context)
         self._executor: Final = Executor(self._router, self._entry, claims, context, self._is_live)
         self.quarantine_gossip: Final = self._make_quarantine_gossip(worker_context, send_suspects)
-        self._tasks: Final = _start_tasks(
-            self._executor.store_pending_outcomes(), self.quarantine_gossip.run()
+        self._tasks: Final = tuple(
+            asyncio.get_running_loop().create_task(keep_running(run, self._on_fault))
+            for run in (self._executor.store_pending_outcomes, self.quarantine_gossip.run)
         )
         self._requests = 0
         self._idle: Final = asyncio.Event()
@@ -268,6 +270,9 @@
     def _is_live(self, vm_id: str) -> bool:
         return any(view.member(vm_id) is not None for view in self._state.views)
 
+    def _on_fault(self, error: Exception) -> None:
+        self._timeline.record(EventKind.INTERNAL_FAULT, detail=f"data plane: {error!r}")
+
     def _open_backend(self, server: Server) -> Backend:
         def on_event(event: str) -> None:
             if event == "opened":
@@ -283,11 +288,6 @@
 _REPLACED_EVENTS: Final = frozenset({"silent", "dropped", "probe_failed", "expired"})
 
 
-def _start_tasks(*coroutines: Coroutine[object, object, None]) -> tuple[asyncio.Task[None], ...]:
-    loop = asyncio.get_running_loop()
-    return tuple(loop.create_task(work) for work in coroutines)
-
-
 def _make_id_generator() -> Callable[[], str]:
     """Return a generator of ids that consist of a random prefix per process and a counter."""
     prefix = secrets.token_hex(6)
--- a/libs/forwarding/berylspindle_forwarding/applied_entries.py
+++ b/libs/forwarding/berylspindle_forwarding/applied_entries.py
@@ -125,6 +125,10 @@
             return False
         return self._put(entry)
 
+    def forget_effect(self, key: str) -> None:
+        """Have the next entry of a key take effect, or its absence from a list."""
+        self._applied[key] = StoredValue(key=key, value=None, revision=0)
+
     def take_settled(self, now: float) -> list[StoredValue]:
         """Return the deferred entries that take effect now."""
         settled = [key for key in self._deferred if now >= self.settles_at(key)]
--- a/libs/forwarding/berylspindle_forwarding/attempt_policy.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_policy.py
@@ -38,6 +38,7 @@
 from berylspindle_forwarding.replica_registry import ReplicaHandle, ReplicaRegistry
 from berylspindle_forwarding.reply_check import ReplyClass
 from berylspindle_forwarding.rollouts import Rollouts
+from berylspindle_model.digits import parse_digits
 from berylspindle_model.errors import ErrorKind, Refusal, RunState
 from berylspindle_model.routing import Organisation, Route
 from berylspindle_telemetry import metric_names as names
@@ -66,7 +67,7 @@
 def _parse_figure(text: str) -> int | None:
     """Return a figure of a load report, or None if it is malformed."""
     digits = text.strip()
-    return int(digits) if digits.isdecimal() and len(digits) <= MAX_FIGURE_DIGITS else None
+    return parse_digits(digits) if len(digits) <= MAX_FIGURE_DIGITS else None
 
 
 def _profiles() -> defaultdict[str, LatencyProfile]:
--- a/libs/forwarding/berylspindle_forwarding/catalogue.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue.py
@@ -6,7 +6,8 @@
 and each answer of a mirror hands on the time in which the store has answered (`confirmed_span`).
 
 Guards: an entry may be deferred after an outage of the store (`applied_entries`). An entry that
-can't be read is ignored and affects no other entry. A watch may be neither answered nor
+can't be read or applied is reported and affects no other entry; a routing table that can't be
+applied ends `run`, since this VM would go on by an older one. A watch may be neither answered nor
 disconnected, if the store or the connection loses it; each call therefore ends by the time-out that
 the selector chose, and no watch is pending for longer than a cycle.
 """
@@ -27,7 +28,9 @@
 from berylspindle_forwarding.catalogue_changes import (
     CatalogueListener,
     CatalogueReader,
+    Change,
     DeferredDeletion,
+    TableChange,
 )
 from berylspindle_forwarding.mirror import Mirror, MirrorStore
 from berylspindle_forwarding.upstream_selector import Upstream, UpstreamSelector
@@ -98,7 +101,7 @@
         self._deferring_since: float | None = None
 
     async def run(self) -> None:
-        """Follow the store until cancelled."""
+        """Follow the store until cancelled; it starts with a list, also when run again."""
         after: int | None = None
         while True:
             upstream = self._pick()
@@ -282,12 +285,27 @@
             self._deferring_since = None
 
     def _is_same_change(self, one: StoredValue, other: StoredValue) -> bool:
-        return self._reader.decode(one) == self._reader.decode(other)
+        return self._decode(one) == self._decode(other)
 
     def _notify(self, entry: StoredValue) -> None:
-        change = self._reader.decode(entry)
-        if change is not None:
+        """Pass on the change of an entry; the failure of one other than a table is reported."""
+        change = self._decode(entry)
+        if change is None:
+            return
+        try:
             self._listener.on_change(change)
+        except Exception as error:
+            self._entries.forget_effect(entry.key)
+            if isinstance(change, TableChange):
+                raise
+            self._listener.on_entry_fault(entry.key, error)
+
+    def _decode(self, entry: StoredValue) -> Change | None:
+        try:
+            return self._reader.decode(entry)
+        except Exception as error:
+            self._listener.on_entry_fault(entry.key, error)
+            return None
 
 
 async def _with_timeout(call: Awaitable[T], timeout: float) -> T:
--- a/libs/forwarding/berylspindle_forwarding/catalogue_changes.py
+++ b/libs/forwarding/berylspindle_forwarding/catalogue_changes.py
@@ -194,6 +194,10 @@
     def on_older_entry(self, entry: StoredValue, known_revision: int, *, from_mirror: bool) -> None:
         """Handle an entry that is ignored because a newer revision of its key is known."""
 
+    @abc.abstractmethod
+    def on_entry_fault(self, key: str, error: Exception) -> None:
+        """Handle an entry that is skipped because of an unexpected error."""
+
     @abc.abstractmethod
     def on_deferred_deletion(self, deletion: DeferredDeletion) -> None:
         """Handle a deletion that is deferred."""
--- a/libs/forwarding/berylspindle_forwarding/crash_watch.py
+++ b/libs/forwarding/berylspindle_forwarding/crash_watch.py
@@ -116,7 +116,12 @@
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._log.error("crash check failed", extra={"detail": repr(error)})
 
     async def _check_for_crash(
         self, fingerprint: str, handle: ReplicaHandle, elapsed_ms: float
--- a/libs/forwarding/berylspindle_forwarding/forward_daemon.py
+++ b/libs/forwarding/berylspindle_forwarding/forward_daemon.py
@@ -140,7 +140,7 @@
             self._stack.push_async_callback(self._relays.close, 0.0)
         self._stack.callback(self._forwarder.front.begin_stop)
         self._forwarder.on_limits = self._set_limits
-        self._forwarder.on_cut_off = self._callers.set_connection_close
+        self._forwarder.on_divert = self._callers.set_connection_close
         if self._edges.peers is not None:
             await self._serve_edge(self._edges.peers, self._forwarder.handle_peer)
         if self._edges.ready is not None:
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from functools import partial
 from typing import Final
 
 from berylspindle_decisions.admission_controller import AdmissionController
@@ -62,6 +63,7 @@
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.logs import logger
 from berylspindle_telemetry.metrics import Metrics
+from berylspindle_telemetry.supervisor import keep_running
 from berylspindle_wire.http import HttpLimits, HttpRequest, HttpResponse
 
 SUSPECT_S: Final = 120.0
@@ -96,12 +98,13 @@
         )
         self._data_centres_out: set[str] = set()
         self._listed: Final = asyncio.Event()
+        self._is_following = False
         self._shutting_down = False
         self._store_reached: bool | None = None
         self.table_version = 0
         self.on_limits: Callable[[HttpLimits], None] = lambda limits: None
         self._reach: Final = Reachability(options.data_centre)
-        self.on_cut_off: Callable[[bool], None] = lambda cut_off: None
+        self.on_divert: Callable[[bool], None] = lambda diverts: None
         self.rollouts: Final = Rollouts(
             options.exposure,
             now=loop.time,
@@ -232,7 +235,7 @@
         """Return the reason why this VM is not ready for callers, or None if it is."""
         if self._shutting_down:
             return Refusal(ErrorKind.SHUTTING_DOWN)
-        if not self._listed.is_set() or self.table_version == 0:
+        if not self._is_following or self.table_version == 0:
             return Refusal(ErrorKind.NOT_READY)
         if self._isolation_monitor.is_cut_off:
             return Refusal(ErrorKind.NO_REPLICA, "cut off from other data centres")
@@ -245,12 +248,14 @@
     async def run(self) -> None:
         """Apply catalogue changes and keep this VM announced until cancelled."""
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._catalogue.run())
-            tasks.create_task(self._isolation_monitor.run())
-            if self._announcer is not None:
-                tasks.create_task(self._announcer.run())
-            if self._rollout_controller is not None:
-                tasks.create_task(self._rollout_controller.run())
+            tasks.create_task(keep_running(self._catalogue.run, self._on_catalogue_failure))
+            for name, task in (
+                ("isolation monitor", self._isolation_monitor),
+                ("announcer", self._announcer),
+                ("rollout controller", self._rollout_controller),
+            ):
+                if task is not None:
+                    tasks.create_task(keep_running(task.run, partial(self._on_task_failure, name)))
 
     async def leave(self) -> None:
         """Withdraw this VM's announcement, unless VMs borrow the tokens of quotas from it.
@@ -302,6 +307,9 @@
             )
         self._listed.set()
         self._quota_owners.on_listed()
+        if not self._is_following:
+            self._is_following = True
+            self._update_diversion()
 
     def on_older_entry(self, entry: StoredValue, known_revision: int, *, from_mirror: bool) -> None:
         """Count an ignored entry, and log it if the store itself returned it."""
@@ -316,6 +324,15 @@
                 },
             )
 
+    def on_entry_fault(self, key: str, error: Exception) -> None:
+        """Count and log an entry that is skipped because of an unexpected error."""
+        self._metrics.count(names.FAULTY_ENTRIES)
+        self._log.error(
+            "skipped store entry",
+            extra={"key": key},
+            exc_info=(type(error), error, error.__traceback__),
+        )
+
     def on_deferred_deletion(self, deletion: DeferredDeletion) -> None:
         """Count a deferred deletion, and log the first until none is deferred."""
         self._metrics.count(
@@ -355,8 +372,6 @@
     def _set_table(self, change: TableChange) -> None:
         if change.table.version <= self.table_version:
             return
-        self.table_version = change.table.version
-        self._metrics.gauge(names.ROUTING_VERSION, change.table.version)
         self.registry.set_table(change.table)
         if self.quotas is not None:
             self.quotas.set_table(change.table)
@@ -370,6 +385,9 @@
                 idle_timeout=limits.idle_timeout,
             )
         )
+        # Only now: a table whose application failed is applied again.
+        self.table_version = change.table.version
+        self._metrics.gauge(names.ROUTING_VERSION, change.table.version)
         for organisations in change.table.key_conflicts:
             self._log.warning(
                 "ignored a key that several organisations hold",
@@ -406,7 +424,26 @@
         self._metrics.gauge(names.CUT_OFF, int(cut_off))
         self.mirror.set_cut_off(cut_off)
         self._log.warning("cut off from other data centres" if cut_off else "no longer cut off")
-        self.on_cut_off(cut_off)
+        self._update_diversion()
+
+    def _on_catalogue_failure(self, error: Exception) -> None:
+        """Report this VM as not ready until all entries have been listed again."""
+        self._on_task_failure("catalogue", error)
+        self._is_following = False
+        self._update_diversion()
+
+    def _on_task_failure(self, task: str, error: Exception) -> None:
+        self._metrics.count(names.TASK_FAILURES, task=task)
+        self._log.error(
+            "task failed and is started again",
+            extra={"task": task},
+            exc_info=(type(error), error, error.__traceback__),
+        )
+
+    def _update_diversion(self) -> None:
+        """Have callers with open connections move to other VMs while this one is not ready."""
+        stopped_following = self._listed.is_set() and not self._is_following
+        self.on_divert(stopped_following or self._isolation_monitor.is_cut_off)
 
     def _update_vm(self, change: VmChange) -> None:
         self.vms.apply(change)
--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -37,6 +37,7 @@
     with_large_value,
 )
 from berylspindle_model import codec
+from berylspindle_model.digits import parse_digits, parse_port
 from berylspindle_store.store import (
     Lease,
     ListResult,
@@ -242,16 +243,23 @@
                 )
             )
         if request.path == WATCH_PATH:
-            if losses := request.query.get("losses"):
-                self.losses.merge(self._now(), unpack_losses(losses))
-            if follower := request.query.get("follower"):
-                bears = float(request.query.get("bears", "0"))
-                self.followers.on_read(self._now(), follower, capacity=bears)
-            if report := request.query.get("rollouts"):
-                self.on_rollout_report(request.query.get("vm", ""), report)
-            return self._to_response(await self._watch(request.query))
+            try:
+                return self._to_response(await self._handle_watch(request.query))
+            except ValueError as error:
+                return HttpResponse(status=400, body=str(error).encode())
         return HttpResponse(status=404)
 
+    async def _handle_watch(self, query: dict[str, str]) -> MirrorChanges:
+        """Record what the reader reports, and wait for changes. Raises ValueError."""
+        if losses := query.get("losses"):
+            self.losses.merge(self._now(), unpack_losses(losses))
+        if follower := query.get("follower"):
+            bears = float(query.get("bears", "0"))
+            self.followers.on_read(self._now(), follower, capacity=bears)
+        if report := query.get("rollouts"):
+            self.on_rollout_report(query.get("vm", ""), report)
+        return await self._watch(query)
+
     async def _watch(self, query: dict[str, str]) -> MirrorChanges:
         after, wait = int(query.get("after", "0")), float(query.get("wait", "0"))
         known_cut_off = query.get("cut_off") == "1"
@@ -289,7 +297,7 @@
     def _record_reader(self, address: str, confirmed_at: float) -> None:
         if self._span is None or confirmed_at - self._span.at < MIN_GAIN_S:
             return
-        if not address.rpartition(":")[2].isdecimal():
+        if parse_port(address.rpartition(":")[2]) is None:
             return
         if self._recent_reader is None or self._recent_reader[1] < confirmed_at:
             self._recent_reader = address, confirmed_at
@@ -450,4 +458,5 @@
 def unpack_losses(text: str) -> dict[str, int]:
     """Decode the query parameter of `pack_losses`; malformed parts are skipped."""
     pairs = (part.rpartition(":") for part in text.split(","))
-    return {replica: int(age) for replica, _, age in pairs if replica and age.isdecimal()}
+    ages = ((replica, parse_digits(age)) for replica, _, age in pairs if replica)
+    return {replica: age for replica, age in ages if age is not None}
--- a/libs/forwarding/berylspindle_forwarding/part_collector.py
+++ b/libs/forwarding/berylspindle_forwarding/part_collector.py
@@ -15,6 +15,7 @@
 from berylspindle_decisions.record_merge import top_records
 from berylspindle_decisions.response_timing import PartialResultVerdict, decide_partial_result
 from berylspindle_forwarding.dialect import Dialect
+from berylspindle_model.digits import parse_digits
 from berylspindle_model.routing import ShardSet
 from berylspindle_wire.http import HttpResponse
 
@@ -43,12 +44,12 @@
         """Add merged parts; return False if the response isn't valid for this many shards."""
         signed = _header(response, self._dialect.parts)
         signatures = [part.strip() for part in signed.split(",") if part.strip()]
-        absent = _header(response, self._dialect.absent) or "0"
-        if not signatures or not absent.isdigit() or len(signatures) + int(absent) != shards:
+        absent = parse_digits(_header(response, self._dialect.absent) or "0")
+        if not signatures or absent is None or len(signatures) + absent != shards:
             return False
         self._signatures.extend(signatures)
         self._bodies.append(response.body)
-        self._lost += int(absent)
+        self._lost += absent
         return True
 
     def add_lost(self, shards: int = 1) -> None:
--- a/libs/forwarding/berylspindle_forwarding/quota_service.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_service.py
@@ -34,7 +34,9 @@
 from berylspindle_model.quota_status import OrganisationStatus
 from berylspindle_model.routing import Organisation
 from berylspindle_telemetry import metric_names as names
+from berylspindle_telemetry.logs import logger
 from berylspindle_telemetry.metrics import Metrics
+from berylspindle_telemetry.supervisor import keep_running
 from berylspindle_wire.http import HttpRequest, HttpResponse
 
 UPKEEP_INTERVAL_S: Final = 0.5
@@ -127,7 +129,9 @@
                 state.close()
                 self._drop(name)
         if self._limits and self._upkeep is None:
-            self._upkeep = asyncio.get_running_loop().create_task(self._keep_up())
+            self._upkeep = asyncio.get_running_loop().create_task(
+                keep_running(self._keep_up, self._on_upkeep_failure)
+            )
 
     def _describe(self, organisation: Organisation) -> OrganisationStatus:
         quota = super()._describe(organisation)
@@ -189,6 +193,14 @@
                 if count % UPKEEP_BATCH == 0:
                     await asyncio.sleep(0)
 
+    def _on_upkeep_failure(self, error: Exception) -> None:
+        self._metrics.count(names.TASK_FAILURES, task="quota upkeep")
+        logger("quotas").error(
+            "task failed and is started again",
+            extra={"task": "quota upkeep"},
+            exc_info=(type(error), error, error.__traceback__),
+        )
+
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
--- a/libs/forwarding/berylspindle_forwarding/relay.py
+++ b/libs/forwarding/berylspindle_forwarding/relay.py
@@ -44,6 +44,7 @@
     pack_positions,
 )
 from berylspindle_forwarding.vm_probe import is_responding
+from berylspindle_model.digits import parse_digits
 from berylspindle_model.errors import ErrorKind, Refusal
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.metrics import Metrics
@@ -305,9 +306,9 @@
         if echoed_id is None or echoed_id.encode("latin-1") != forward.request_id:
             self._record_failure(merger, "foreign", long=True)
             return Refusal(ErrorKind.BAD_REPLY, f"{merger} replied to another request")
-        load = outcome.header(RELAY_LOAD)
-        if load is not None and load.isdigit():
-            self._choice.on_report(self._now(), merger, int(load))
+        load = parse_digits(outcome.header(RELAY_LOAD) or "")
+        if load is not None:
+            self._choice.on_report(self._now(), merger, load)
         self._metrics.count(names.FORWARD_RELAYED, result="answered")
         dropped = HOP_HEADERS | _RELAY_HEADERS
         kept = tuple((n, v) for n, v in outcome.headers if n not in dropped)
--- a/libs/forwarding/berylspindle_forwarding/request_head.py
+++ b/libs/forwarding/berylspindle_forwarding/request_head.py
@@ -13,6 +13,7 @@
 import attrs
 
 from berylspindle_forwarding.dialect import HOP_HEADERS, Dialect
+from berylspindle_model.digits import parse_digits
 from berylspindle_model.routing import Organisation
 from berylspindle_wire.exchange import ExchangeRequest
 from berylspindle_wire.http import HttpRequest
@@ -107,7 +108,7 @@
         if name in hop or name == dialect.expected:
             continue
         if name == RELAY_TABLE:
-            relay_table = _integer(value)
+            relay_table = parse_digits(value)
             continue
         if name == RELAY_AIM:
             relay_aim = _milliseconds(value)
@@ -163,11 +164,5 @@
 
 
 def _milliseconds(value: bytes) -> float | None:
-    text = value.strip()
-    if not text.isdigit():
-        return None
-    return float(min(int(text), MAX_TIME_LEFT_MS))
-
-
-def _integer(value: bytes) -> int | None:
-    return int(value) if value.isdigit() else None
+    ms = parse_digits(value.strip())
+    return float(min(ms, MAX_TIME_LEFT_MS)) if ms is not None else None
--- a/libs/forwarding/berylspindle_forwarding/subset_call.py
+++ b/libs/forwarding/berylspindle_forwarding/subset_call.py
@@ -29,7 +29,7 @@
     seconds = dict(response.raw_headers).get(b"retry-after", b"")
     try:
         retry_after_ms = int(float(seconds) * 1000)
-    except ValueError:
+    except (ValueError, OverflowError):
         retry_after_ms = None
     return Refusal(
         ErrorKind.OVERLOADED,
--- a/libs/model/berylspindle_model/codec.py
+++ b/libs/model/berylspindle_model/codec.py
@@ -33,13 +33,13 @@
 def from_json(data: bytes, kind: type[T]) -> T:
     """Return the message of type `kind` that is encoded in JSON.
 
-    Raise MalformedError if the data is not valid JSON, and its subclass DecodeError if a field is
-    missing or has the wrong type.
+    Raise MalformedError if the data is not valid JSON or nested too deeply, and its subclass
+    DecodeError if a field is missing or has the wrong type.
     """
     decoder = _JSON_DECODERS.get(kind)
     if decoder is None:
         decoder = _JSON_DECODERS[kind] = msgspec.json.Decoder(kind)
-    message: T = decoder.decode(data)
+    message: T = _decode(decoder, data)
     return message
 
 
@@ -56,10 +56,19 @@
     decoder = _MSGPACK_DECODERS.get(kind)
     if decoder is None:
         decoder = _MSGPACK_DECODERS[kind] = msgspec.msgpack.Decoder(kind)
-    message: T = decoder.decode(data)
+    message: T = _decode(decoder, data)
     return message
 
 
 def to_sorted_json(message: object) -> bytes:
     """Return the JSON encoding with sorted object keys; equal contents give equal bytes."""
     return _SORTED_JSON.encode(message)
+
+
+def _decode(decoder: msgspec.json.Decoder[T] | msgspec.msgpack.Decoder[T], data: bytes) -> T:
+    try:
+        message: T = decoder.decode(data)
+    except RecursionError as error:
+        # msgspec skips the values of unknown fields recursively.
+        raise MalformedError("the value is nested too deeply") from error
+    return message
--- a/libs/store/berylspindle_store/http_store.py
+++ b/libs/store/berylspindle_store/http_store.py
@@ -14,6 +14,7 @@
 from typing import Final, Self, TypeVar
 
 from berylspindle_model import codec
+from berylspindle_model.digits import parse_digits
 from berylspindle_store import routes
 from berylspindle_store.connections import StoreOptions, platform_pool
 from berylspindle_store.store import (
@@ -197,10 +198,10 @@
 
 
 def _revision(response: HttpResponse, error_type: type[StoreError]) -> int:
-    text = response.headers.get(routes.REVISION_HEADER, "")
-    if not text.isdecimal():
+    revision = parse_digits(response.headers.get(routes.REVISION_HEADER, ""))
+    if revision is None:
         raise error_type(f"response without a valid {routes.REVISION_HEADER} header")
-    return int(text)
+    return revision
 
 
 def _lease(response: HttpResponse) -> Lease:
--- a/libs/store/berylspindle_store/revisions.py
+++ b/libs/store/berylspindle_store/revisions.py
@@ -17,12 +17,14 @@
 NUMBER_BITS: Final = 40
 """Bits of the number. The other 23 bits of a signed 64-bit integer hold the era."""
 
+MAX_ERA: Final = (1 << (63 - NUMBER_BITS)) - 1
+
 _NUMBER_MASK: Final = (1 << NUMBER_BITS) - 1
 
 
 def make_revision(era: int, number: int) -> int:
     """Return the revision of a number in an era. Raises ValueError if either is out of range."""
-    if not 0 <= number <= _NUMBER_MASK or not 0 <= era < 1 << (63 - NUMBER_BITS):
+    if not 0 <= number <= _NUMBER_MASK or not 0 <= era <= MAX_ERA:
         raise ValueError(f"era {era} or number {number} is out of range")
     return era << NUMBER_BITS | number
 
--- a/libs/telemetry/berylspindle_telemetry/metric_names.py
+++ b/libs/telemetry/berylspindle_telemetry/metric_names.py
@@ -210,6 +210,12 @@
 OLDER_ENTRIES: Final = _counter(
     "older_entries", "Entries ignored because a newer revision was known.", "upstream"
 )
+FAULTY_ENTRIES: Final = _counter(
+    "faulty_entries", "Entries that were skipped because of an unexpected error."
+)
+TASK_FAILURES: Final = _counter(
+    "task_failures", "Failures of tasks that run as long as the process.", "task"
+)
 DEFERRED_DELETIONS: Final = _counter(
     "deferred_deletions",
     "Deletions of entries that were deferred, by kind of entry.",
--- a/libs/wire/berylspindle_wire/exchange.py
+++ b/libs/wire/berylspindle_wire/exchange.py
@@ -29,6 +29,7 @@
 import attrs
 import h11
 
+from berylspindle_wire.addresses import invalid_address_as_os_error
 from berylspindle_wire.reply_body import (
     UNCOUNTED_BYTES,
     ReplyBody,
@@ -343,11 +344,12 @@
     unfinished ones. Raise OSError, which includes TimeoutError."""
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout):
-        _, connection = await loop.create_connection(
-            lambda: ExchangeConnection(
-                now=loop.time, max_reply_bytes=max_reply_bytes, memory=memory, on_free=on_free
-            ),
-            host,
-            port,
-        )
+        with invalid_address_as_os_error(host, port):
+            _, connection = await loop.create_connection(
+                lambda: ExchangeConnection(
+                    now=loop.time, max_reply_bytes=max_reply_bytes, memory=memory, on_free=on_free
+                ),
+                host,
+                port,
+            )
     return connection
--- a/libs/wire/berylspindle_wire/http_client.py
+++ b/libs/wire/berylspindle_wire/http_client.py
@@ -21,6 +21,7 @@
 
 import h11
 
+from berylspindle_wire.addresses import invalid_address_as_os_error
 from berylspindle_wire.http import HttpLimits, HttpRequest, HttpResponse
 from berylspindle_wire.http_head import HEAD_END, framing_fault
 from berylspindle_wire.reply_body import ReplyBody
@@ -325,13 +326,14 @@
     host_header = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
     try:
         async with asyncio.timeout(timeout):
-            _, connection = await loop.create_connection(
-                lambda: HttpConnection(host_header, limits),
-                host,
-                port,
-                ssl=tls,
-                server_hostname=host if tls is not None else None,
-            )
+            with invalid_address_as_os_error(host, port):
+                _, connection = await loop.create_connection(
+                    lambda: HttpConnection(host_header, limits),
+                    host,
+                    port,
+                    ssl=tls,
+                    server_hostname=host if tls is not None else None,
+                )
     except TimeoutError as error:
         raise HttpFailure(FailurePhase.NOT_SENT, "connect timed out") from error
     except OSError as error:
--- a/libs/wire/berylspindle_wire/http_head.py
+++ b/libs/wire/berylspindle_wire/http_head.py
@@ -112,7 +112,10 @@
     """Return the path and query of a target not in origin form ("*" or an absolute URL)."""
     if target == "*":
         return target
-    parts = urlsplit(target)
+    try:
+        parts = urlsplit(target)
+    except ValueError as error:
+        raise bad_request("target is not a valid URL") from error
     if parts.scheme not in ("http", "https") or parts.netloc != host:
         raise bad_request("target is neither a path nor a URL of this host")
     return f"{parts.path or '/'}?{parts.query}" if parts.query else parts.path or "/"
--- a/tests/controlplane/test_store_age.py
+++ b/tests/controlplane/test_store_age.py
@@ -106,6 +106,26 @@
     await in_force(cluster, vms)
 
 
+async def test_watchers_go_on_after_an_unexpected_error(
+    cluster: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a watcher that no longer follows the store, which nobody notices."""
+    vms = await start_settled(cluster, VMS)
+    watching = watchers(cluster, vms)
+
+    async def failing_watch(prefix: str, *, after: int, wait: float) -> WatchResult:
+        raise RuntimeError("unexpected")
+
+    with monkeypatch.context() as patched:
+        for vm in watching:
+            patched.setattr(cluster.stores[vm.id], "watch", failing_watch)
+        await asyncio.sleep(40.0)
+    assert [event for event in cluster.events if event[1] == "internal_fault"]
+    assert watchers(cluster, vms) == watching
+    change_configuration(cluster)
+    await in_force(cluster, vms)
+
+
 async def test_a_vm_that_only_the_store_confirms_gets_its_configuration_there(cluster: Any) -> None:
     """Guard against a VM that keeps its rights by the store and never reads a configuration.
 
--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -57,6 +57,9 @@
 
     def on_older_entry(self, entry, known_revision, *, from_mirror) -> None: ...
 
+    def on_entry_fault(self, key, error) -> None:
+        raise AssertionError(key) from error
+
     def on_deferred_deletion(self, deletion) -> None: ...
 
     def on_deferral_end(self, seconds) -> None: ...
--- a/tests/model/test_codec.py
+++ b/tests/model/test_codec.py
@@ -44,5 +44,18 @@
         codec.from_json(data, AttemptBatch)
 
 
+@pytest.mark.parametrize(
+    ("decode", "data"),
+    [
+        (codec.from_json, 3000 * b'{"last":' + b"0" + 3000 * b"}"),
+        (codec.from_msgpack, 3000 * b"\x81\xa4last" + b"\x00"),
+    ],
+)
+def test_deeply_nested_message_is_malformed(decode, data: bytes) -> None:
+    """Guard against a task that ends because its peer's bytes raise another error."""
+    with pytest.raises(codec.MalformedError):
+        decode(data, AttemptBatch)
+
+
 def test_every_error_kind_has_an_answer() -> None:
     assert set(ANSWERS) == set(ErrorKind)
--- a/tests/platform_adapter/test_entries.py
+++ b/tests/platform_adapter/test_entries.py
@@ -6,7 +6,10 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from berylspindle_adapter import wire_names as wire
 from berylspindle_adapter.entry_reader import PlatformReader
 from berylspindle_adapter.node_file import SettingsError, callers_address, read_fields
 from berylspindle_adapter.node_settings import NodeSettings, parse_settings
@@ -99,6 +102,37 @@
     assert table.limits.idle_timeout == 15.0
 
 
+DECODED_KEYS = (
+    wire.CONFIGURATION_KEY,
+    *(
+        f"{prefix}s1/north"
+        for prefix in (
+            wire.REPLICA_PREFIX,
+            wire.VM_PREFIX,
+            wire.SUSPECT_PREFIX,
+            wire.ROLLOUT_PREFIX,
+            wire.ROLLOUT_STATUS_PREFIX,
+            wire.ROLLOUT_SHIFT_PREFIX,
+            wire.ROLLOUT_ANSWERS_PREFIX,
+        )
+    ),
+)
+VALUES = st.recursive(
+    st.none() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=9),
+    lambda values: st.lists(values, max_size=2) | st.dictionaries(st.text(), values, max_size=2),
+    max_leaves=4,
+)
+ENTRIES = st.builds(
+    lambda fields, name, value: {**fields, name: value},
+    st.sampled_from([ANNOUNCEMENT, CONFIGURATION]),
+    st.sampled_from(sorted({**ANNOUNCEMENT, **CONFIGURATION})),
+    VALUES
+    | st.text(max_size=9).map(lambda port: f"10.1.2.3:{port}")
+    | st.text(max_size=9).map(lambda host: f"{host}:8080"),
+)
+"""Announcements and configurations with another value in one field."""
+
+
 def test_announcement_entry_yields_a_replica():
     change = read_change("servers/i-1", ANNOUNCEMENT)
     assert change == ReplicaChange(
@@ -131,6 +165,12 @@
         {**ANNOUNCEMENT, "slots": "three"},
         {**ANNOUNCEMENT, "state": "asleep"},
         {**ANNOUNCEMENT, "addr": "nowhere"},
+        {**ANNOUNCEMENT, "addr": "10.1.2.3:²"},
+        {**ANNOUNCEMENT, "addr": "10.1.2.3:٣"},
+        {**ANNOUNCEMENT, "addr": "10.1.2.3:" + 5000 * "9"},
+        {**ANNOUNCEMENT, "addr": "10.1.2.3:65536"},
+        {**ANNOUNCEMENT, "addr": "10..3:8080"},
+        {**ANNOUNCEMENT, "addr": ":8080"},
         {**ANNOUNCEMENT, "service": None},
         {**ANNOUNCEMENT, "born": 1.5},
         {key: value for key, value in ANNOUNCEMENT.items() if key != "zone"},
@@ -144,6 +184,26 @@
     assert change.reason
 
 
+NESTED = 3000 * b'{"last":' + b"0" + 3000 * b"}"
+
+
+@pytest.mark.parametrize("key", DECODED_KEYS)
+@pytest.mark.parametrize(
+    "value", [NESTED, b'{"last":%b}' % NESTED, 3000 * b"[", 3000 * b"[" + 3000 * b"]"]
+)
+def test_deeply_nested_entry_is_unreadable(key: str, value: bytes):
+    """Guard against an entry that ends the task which follows the store."""
+    assert isinstance(read_change(key, value), UnreadableEntry)
+
+
+@given(key=st.sampled_from(DECODED_KEYS), value=st.one_of(st.binary(), ENTRIES))
+def test_entry_of_another_writer_is_decoded_or_unreadable(key: str, value: object):
+    """Guard against an entry that ends the task which follows the store."""
+    change = read_change(key, value)
+    if isinstance(change, ReplicaChange) and change.replica is not None:
+        assert 0 < change.replica.port < 65536
+
+
 def test_evacuation_vm_and_unknown_entries():
     assert read_change("op/evacuate/north", {}) == DataCentreExclusionChange("north", True)
     assert read_change("op/evacuate/north", None) == DataCentreExclusionChange("north", False)
--- a/tests/wire/test_http_client.py
+++ b/tests/wire/test_http_client.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from berylspindle_wire.exchange import open_exchange_connection
 from berylspindle_wire.http import HttpRequest
 from berylspindle_wire.http_client import FailurePhase, HttpConnection, HttpFailure, connect
+from berylspindle_wire.reply_body import ReplyMemory
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 GET = HttpRequest(method="GET", path="/a b", query={"q": "x&y"})
@@ -143,6 +145,23 @@
     assert caught.value.phase is FailurePhase.NOT_SENT
 
 
+@pytest.mark.parametrize(("host", "port"), [("127.0.0.1", 70_000), ("10..3", 80), ("a\0b", 80)])
+async def test_invalid_address_is_not_sent(host: str, port: int):
+    """Guard against requests that wait for a connection since the task that opens it has failed."""
+    with pytest.raises(HttpFailure) as caught:
+        await connect(host, port, timeout=5)
+    assert caught.value.phase is FailurePhase.NOT_SENT
+    with pytest.raises(OSError, match="invalid address"):
+        await open_exchange_connection(
+            host,
+            port,
+            timeout=5,
+            max_reply_bytes=100,
+            memory=ReplyMemory(),
+            on_free=lambda connection: None,
+        )
+
+
 async def test_unsolicited_bytes_close_an_idle_connection(until):
     """Guard against reading a late reply to an abandoned request as the reply to the next one."""
 
