Tell crashes under a request apart by the replica's start, not by ages or ids

Cause: a later crash counted only at a replica whose id was not in the record yet, which after the first request were none; and records of two VMs were compared by ages that grow on their way through the store. By the same comparison a sound request that two VMs had in flight was quarantined. Ruled out: lost records, crashes that are not detected, the choice of the canary's replica.

Change: crashes have the replica's id, start and a count; an event is later if its VM knew of the suspect; records of one generation are united. Two later crashes of any replicas quarantine, one after a quarantine; a success is shared and clears at all VMs; the first quarantine lasts 120 s in place of 60. Owners of the other data plane number the losses of a server. Records no longer have ages and ids: during an update VMs ignore each other's records of the other form.

--- a/libs/dataplane/berylspindle_dataplane/entry_quarantine.py
+++ b/libs/dataplane/berylspindle_dataplane/entry_quarantine.py
@@ -62,6 +62,7 @@
                 now,
                 fingerprint,
                 reply.server,
+                start=reply.loss_event or None,
                 elapsed_ms=reply.served_ms or UNKNOWN_ELAPSED_MS,
                 in_flight=reply.lost_together,
             )
@@ -79,12 +80,13 @@
         fingerprint: str,
         server: str,
         *,
+        start: int | None = None,
         elapsed_ms: float = UNKNOWN_ELAPSED_MS,
         in_flight: int = 1,
     ) -> None:
         """Record lost connections during the request; `in_flight` attempts were lost together."""
         super().on_connection_lost(
-            now, fingerprint, server, elapsed_ms=elapsed_ms, in_flight=in_flight
+            now, fingerprint, server, start=start, elapsed_ms=elapsed_ms, in_flight=in_flight
         )
         self._on_local_change(now, (fingerprint,))
 
--- a/libs/dataplane/berylspindle_dataplane/loss_attribution.py
+++ b/libs/dataplane/berylspindle_dataplane/loss_attribution.py
@@ -4,8 +4,8 @@
   event   one loss of all connections to a backend server
 
 Flow: the worker calls `is_suspect` before each dispatch, passes each reply through
-`with_loss_count`, which adds the number of attempts lost in the same event, and passes it to
-`record_reply`.
+`with_loss_count`, which adds the number of the event and of the attempts lost in it, and passes it
+to `record_reply`.
 
 A crash breaks all connections, and their attempts fail one after the other. If each were counted on
 its own, the last of four innocent searches would appear to have been alone at the server and would
@@ -34,6 +34,7 @@
         self._quarantine: Final = quarantine
         self._event_at = float("-inf")
         self._event_size = 0
+        self._events = 0
 
     def is_suspect(self, now: float, fingerprint: str, *, is_canary: bool) -> bool:
         """Return whether to refuse the request because it has crashed a server of this VM.
@@ -57,7 +58,8 @@
         if dispatched_at > self._event_at:
             self._event_at = now
             self._event_size = in_flight
-        return attrs.evolve(reply, lost_together=self._event_size)
+            self._events += 1
+        return attrs.evolve(reply, lost_together=self._event_size, loss_event=self._events)
 
     def record_reply(
         self, now: float, fingerprint: str, reply: AttemptReply, served_ms: float
@@ -72,6 +74,7 @@
                 now,
                 fingerprint,
                 self._server_id,
+                start=reply.loss_event,
                 elapsed_ms=served_ms,
                 in_flight=reply.lost_together,
             )
--- a/libs/decisions/berylspindle_decisions/quarantine.py
+++ b/libs/decisions/berylspindle_decisions/quarantine.py
@@ -7,6 +7,7 @@
 Terms:
   fingerprint   hash of what a backend server would run; equal searches have the same one
   strike        a connection that was lost during an attempt of this fingerprint
+  crash         the end of one run of a server's process; all its strikes are one crash
   suspect       a fingerprint with strikes and no success since
   canary        a run on one shard first; the other shards follow after its response
   quarantined   refused, since it had another strike when it ran as a canary
@@ -14,22 +15,31 @@
   alert         the time after any strike in which first-seen fingerprints run as canaries too
 
 Flow: `decide` is called before a scatter-gather; `on_connection_lost`, `on_success` and
-`on_inconclusive` are called after attempts. `export` and `merge` exchange records between VMs; the
-records contain ages and remaining times, since clocks differ.
+`on_inconclusive` are called after attempts. `export` and `merge` exchange records between VMs.
 
 Events: a scatter-gather gets strikes on all shards at once, and so do all other requests in flight
-on these servers. A lost attempt that was dispatched before the first strike therefore only makes
-its fingerprint a suspect. A lost attempt that any VM dispatched to another server after the first
-strike counts as a later event. Counting all strikes within a time window as one event instead would
-miss a caller that retries within the window, and one request would then crash 21 servers.
-
-Thresholds: a later event weighs 1 over the number of attempts that were lost together, and a total
-weight of 0.5 leads to quarantine. One later event is enough if the request was alone on the server
-or with one other request; two are needed if it was with two or three others. The first quarantine
-lasts 60 s, and each further one twice as long, up to an hour. A success clears a suspect, since a
-request that crashes each server that runs it never succeeds. First-seen fingerprints run as
-canaries only during an alert of 30 s. If they always did, most searches would take another round
-trip; if they never did, the next bad request would crash a replica of each shard again.
+on these servers. A lost attempt that was dispatched before its VM knew of the fingerprint therefore
+only makes it a suspect, whether the VM learnt of it by the strike or from a peer. A lost attempt of
+a suspect is a later event.
+
+Identity: a crash is told apart by the server and by the start of its process. A server that is back
+under its id and crashes again has crashed twice, and a crash that two VMs see is one. Strikes of
+two VMs are never compared by their times: clocks differ, and an age that is sent grows on the way
+by an unknown time. Records of one generation are merged by uniting their crashes, which gives the
+same evidence in any order, and however often a record arrives.
+
+Thresholds: a crash weighs 1 over the number of attempts that were lost together, and a total weight
+of 0.5 leads to quarantine. One later event is enough if the request was alone on the server or with
+one other request; two are needed if it was with two or three others. Where other VMs send to the
+same server, the other requests are not known, and a crash weighs less (`first_weight`,
+`later_weight`). Another crash of a server that has crashed before may be its own doing
+(`same_server_weight`). Crashes under a request that its VM did not know as a suspect are one event
+for each VM, and the heaviest of these events does not count. The first quarantine lasts `base_s`,
+and each further one twice as long; after one, a single crash leads to the next. A success clears a
+suspect, since a request that crashes each server that runs it never succeeds. First-seen
+fingerprints run as canaries only during an alert of 30 s. If they always did, most searches would
+take another round trip; if they never did, the next bad request would crash a replica of each shard
+again.
 """
 
 from __future__ import annotations
@@ -44,6 +54,9 @@
 from berylspindle_model.errors import ErrorKind, Refusal, RunState
 
 QUARANTINE_WEIGHT: Final = 0.5
+MAX_DOUBLINGS: Final = 16
+"""Doublings after which each quarantine has its longest duration."""
+
 # Assumed age of an attempt if not known; the strikes of one scatter-gather come closer together.
 UNKNOWN_ELAPSED_MS: Final = 1000.0
 # Sums of thirds and sixths are not exact in floating point.
@@ -86,6 +99,10 @@
         canary_s: seconds after which a canary without an outcome no longer blocks the next.
         max_known_good: number of fingerprints kept as known good.
         max_records: number of fingerprints kept as suspect or quarantined.
+        first_weight: weight of a crash under a fingerprint that was no suspect yet.
+        later_weight: weight of a crash under a suspect.
+        same_server_weight: factor for a later crash of a server that has crashed under the
+            fingerprint before, and may crash by itself.
     """
 
     first_seen: FirstSeenPolicy = FirstSeenPolicy.ALERT
@@ -96,39 +113,101 @@
     canary_s: float = 2.0
     max_known_good: int = 10_000
     max_records: int = 1000
+    first_weight: float = 1.0
+    later_weight: float = 1.0
+    same_server_weight: float = 0.25
+
+
+@attrs.frozen(kw_only=True)
+class Crash:
+    """One crash of a server during attempts of a fingerprint.
+
+    Attributes:
+        server: the server's id.
+        start: identifies the start of its process; None if that is not known.
+        repeat: number of crashes known before of the same server and start. It is above 0 where a
+            suspect was sent to a server whose new start had not been announced yet.
+        is_later: whether the fingerprint was a suspect when it was dispatched.
+        event: which crashes without `is_later` are of one event; names the first of them.
+        weight: evidence, from 0 to 1.
+    """
+
+    server: str
+    start: int | None = None
+    repeat: int = 0
+    is_later: bool = False
+    event: str = ""
+    weight: float = 1.0
+
+
+_CrashKey = tuple[str, int | None, int]
 
 
 @attrs.frozen(kw_only=True)
 class SuspectRecord:
-    """The exchanged record of one fingerprint; a higher generation replaces a lower one.
+    """The exchanged record of one fingerprint.
 
-    `struck_ms` is the age of the first strike, `dispatched_ms` that of the dispatch of its attempt,
-    `left_ms` the time until the record expires.
+    A higher generation replaces a lower one; records of one generation are united. `left_ms` is the
+    time until the record expires, and `times` the number of quarantines since the last success.
     """
 
     fingerprint: str
     level: QuarantineLevel
     generation: int
-    servers: tuple[str, ...]
     times: int
     left_ms: int
-    struck_ms: int
-    dispatched_ms: int
-    weight: float
+    crashes: tuple[Crash, ...] = ()
 
 
 @attrs.define(kw_only=True)
 class _Record:
+    """The record of a fingerprint, which this VM knows since `known_since`."""
+
     level: QuarantineLevel
     generation: int
-    servers: set[str]
-    struck: float
-    dispatched: float
+    known_since: float
     until: float
-    weight: float = 0.0
+    crashes: dict[_CrashKey, Crash] = attrs.field(factory=dict)
+    local_event: str = ""
     times: int = 0
     canary_until: float = float("-inf")
 
+    @property
+    def servers(self) -> set[str]:
+        """Return the ids of the servers that have crashed."""
+        return {crash.server for crash in self.crashes.values()}
+
+    @property
+    def weight(self) -> float:
+        """Return the evidence that the fingerprint crashes servers, apart from its first event."""
+        later, first_events = 0.0, dict[str, float]()
+        for crash in self.crashes.values():
+            if crash.is_later:
+                later += crash.weight
+            else:
+                known = first_events.get(crash.event, 0.0)
+                first_events[crash.event] = max(known, crash.weight)
+        return later + sum(first_events.values()) - max(first_events.values(), default=0.0)
+
+    def add(self, crash: Crash) -> bool:
+        """Add a crash, or what another report of it states; return whether that was new."""
+        key = crash.server, crash.start, crash.repeat
+        known = self.crashes.get(key)
+        if known is not None:
+            is_later = known.is_later or crash.is_later
+            crash = attrs.evolve(
+                crash,
+                is_later=is_later,
+                event="" if is_later else max(known.event, crash.event),
+                weight=max(known.weight, crash.weight),
+            )
+        self.crashes[key] = crash
+        return crash != known
+
+    def next_repeat(self, server: str, start: int | None) -> int:
+        """Return the number of crashes known of a server and start."""
+        return sum((one.server, one.start) == (server, start) for one in self.crashes.values())
+
 
 class Quarantine:
     """The suspect, quarantined and known good fingerprints of one VM."""
@@ -152,7 +231,7 @@
     def servers(self, now: float, fingerprint: str) -> frozenset[str]:
         """Return the backend servers that were lost during attempts of a fingerprint."""
         record = self._unexpired(now, fingerprint)
-        return frozenset(record.servers) if record is not None else frozenset()
+        return frozenset(record.servers if record is not None else ())
 
     def decide(self, now: float, fingerprint: str) -> RunMode | Refusal:
         """Return how a request may run; CANARY reserves the one canary of a suspect."""
@@ -187,7 +266,7 @@
         record = self._unexpired(now, fingerprint)
         self._alert_until = now + self._options.alert_s
         if record is None or record.level is QuarantineLevel.CLEARED:
-            self._add_suspect(now, fingerprint, None, now, record)
+            self._add_suspect(now, fingerprint, record)
 
     def on_success(self, now: float, fingerprint: str) -> None:
         """Record that a backend server completed an attempt of a fingerprint."""
@@ -199,8 +278,9 @@
         if record is not None and record.level is QuarantineLevel.SUSPECT:
             record.level = QuarantineLevel.CLEARED
             record.generation += 1
-            record.servers.clear()
-            record.weight = 0.0
+            record.times = 0
+            record.crashes.clear()
+            record.local_event = ""
 
     def on_connection_lost(
         self,
@@ -208,30 +288,50 @@
         fingerprint: str,
         server: str,
         *,
+        start: int | None = None,
         elapsed_ms: float = UNKNOWN_ELAPSED_MS,
         in_flight: int = 1,
     ) -> None:
         """Record a strike: the connection to a server was lost during an attempt.
 
-        `elapsed_ms` is the time since the attempt was dispatched, `in_flight` the number of
+        `start` tells the starts of the server's process apart; without it, all crashes of a server
+        are one. `elapsed_ms` is the time since the request was admitted, `in_flight` the number of
         attempts that were lost together.
         """
         self._alert_until = now + self._options.alert_s
-        dispatched = now - elapsed_ms / 1000
         record = self._unexpired(now, fingerprint)
         if record is None or record.level is QuarantineLevel.CLEARED:
-            self._add_suspect(now, fingerprint, server, dispatched, record)
-            return
+            record = self._add_suspect(now, fingerprint, record)
         record.canary_until = float("-inf")
-        is_second_event = dispatched > record.struck and server not in record.servers
-        record.servers.add(server)
-        if not is_second_event:
-            # Further strikes of one event are weak evidence, as are crashes of a single server.
+        is_later = now - elapsed_ms / 1000 > record.known_since
+        repeat = record.next_repeat(server, start) if is_later and start is not None else 0
+        weight = self._weight(record, server, is_later=is_later) / max(1, in_flight)
+        if not is_later:
+            record.local_event = record.local_event or f"{server} {start}"
+        if start is None and server in record.servers:
+            # Whether this is another crash is not known.
             return
-        record.weight += 1.0 / max(1, in_flight)
-        record.generation += 1
+        record.add(
+            Crash(
+                server=server,
+                start=start,
+                repeat=repeat,
+                is_later=is_later,
+                event="" if is_later else record.local_event,
+                weight=weight,
+            )
+        )
         self._quarantine_if_due(now, record)
 
+    def _weight(self, record: _Record, server: str, *, is_later: bool) -> float:
+        if not is_later:
+            return self._options.first_weight
+        if record.times:
+            # Quarantined before, and no success since.
+            return 1.0
+        is_known = server in record.servers
+        return self._options.later_weight * (self._options.same_server_weight if is_known else 1.0)
+
     def on_inconclusive(self, fingerprint: str) -> None:
         """Record that a canary ended with neither success nor loss; another one may run."""
         record = self._records.get(fingerprint)
@@ -252,12 +352,9 @@
                     fingerprint=fingerprint,
                     level=record.level,
                     generation=record.generation,
-                    servers=tuple(sorted(record.servers)),
                     times=record.times,
                     left_ms=int((record.until - now) * 1000),
-                    struck_ms=_age_ms(now, record.struck),
-                    dispatched_ms=_age_ms(now, record.dispatched),
-                    weight=record.weight,
+                    crashes=tuple(record.crashes.values()),
                 )
             )
         return tuple(records)
@@ -283,44 +380,33 @@
             _Record(
                 level=received.level,
                 generation=received.generation,
-                servers=set(received.servers),
-                struck=now - received.struck_ms / 1000,
-                dispatched=now - received.dispatched_ms / 1000,
+                known_since=now,
                 until=now + received.left_ms / 1000,
-                weight=received.weight,
+                crashes={
+                    (crash.server, crash.start, crash.repeat): crash for crash in received.crashes
+                },
                 times=received.times,
+                canary_until=record.canary_until if record is not None else float("-inf"),
             ),
         )
         return True
 
     def _merge_equal(self, now: float, record: _Record, received: SuspectRecord) -> bool:
-        # Two VMs had a strike at the same time. The shorter remaining time is kept: with the longer
-        # one, each exchange would add its transit time, and records would never expire.
-        had_strike = bool(record.servers)
-        servers = record.servers | set(received.servers)
-        changed = servers != record.servers
-        record.servers = servers
-        record.until = min(record.until, now + received.left_ms / 1000)
-        if record.level is not QuarantineLevel.SUSPECT or received.level is QuarantineLevel.CLEARED:
-            return changed
-        struck, dispatched = now - received.struck_ms / 1000, now - received.dispatched_ms / 1000
-        if not had_strike:
-            # This record has no strike, only an owner's refusal, so the peer's strike is the first
-            # one. If it counted as a later event, each request that was on a server during a single
-            # crash would be quarantined.
-            record.struck, record.dispatched = struck, dispatched
-        elif (
-            changed
-            and received.servers
-            and (dispatched > record.struck or record.dispatched > struck)
-        ):
-            # Neither VM had the other's record, and one dispatched its attempt after the other's
-            # strike: these are two events.
-            record.weight += 1.0
-            record.generation += 1
-        record.weight = max(record.weight, received.weight)
-        self._quarantine_if_due(now, record)
-        return changed
+        # The shorter remaining time is kept: with the longer one, each exchange would add its
+        # transit time, and records would never expire.
+        until = now + received.left_ms / 1000
+        if QuarantineLevel.CLEARED in (record.level, received.level):
+            return False
+        added = [crash for crash in received.crashes if record.add(crash)]
+        if record.level is received.level:
+            record.until = min(record.until, until)
+            self._quarantine_if_due(now, record)
+            return bool(added)
+        if record.level is QuarantineLevel.SUSPECT:
+            record.level, record.until = received.level, until
+            record.times = max(record.times, received.times)
+            return True
+        return bool(added)
 
     def _decide_first_seen(self, now: float, fingerprint: str) -> RunMode:
         mode = self._options.first_seen
@@ -331,27 +417,17 @@
             return RunMode.CANARY
         return RunMode.PLAIN
 
-    def _add_suspect(
-        self,
-        now: float,
-        fingerprint: str,
-        server: str | None,
-        dispatched: float,
-        old: _Record | None,
-    ) -> None:
+    def _add_suspect(self, now: float, fingerprint: str, old: _Record | None) -> _Record:
         self._known_good.pop(fingerprint, None)
-        self._store(
-            fingerprint,
-            _Record(
-                level=QuarantineLevel.SUSPECT,
-                generation=old.generation + 1 if old is not None else 1,
-                servers={server} if server is not None else set(),
-                struck=now,
-                dispatched=dispatched,
-                until=now + self._options.suspect_s,
-                times=old.times if old is not None else 0,
-            ),
+        record = _Record(
+            level=QuarantineLevel.SUSPECT,
+            generation=old.generation + 1 if old is not None else 1,
+            known_since=now,
+            until=now + self._options.suspect_s,
+            times=old.times if old is not None else 0,
         )
+        self._store(fingerprint, record)
+        return record
 
     def _quarantine_if_due(self, now: float, record: _Record) -> None:
         if (
@@ -359,7 +435,8 @@
             or record.weight < QUARANTINE_WEIGHT - _TOLERANCE
         ):
             return
-        seconds = min(self._options.base_s * 2**record.times, self._options.max_s)
+        doublings = min(record.times, MAX_DOUBLINGS)
+        seconds = min(self._options.base_s * 2**doublings, self._options.max_s)
         record.level = QuarantineLevel.QUARANTINED
         record.times += 1
         record.until = now + seconds
@@ -372,9 +449,9 @@
             # The quarantine has expired; one canary shows whether the request still crashes.
             record.level = QuarantineLevel.SUSPECT
             record.generation += 1
-            record.weight = 0.0
-            record.struck = now
-            record.servers.clear()
+            record.known_since = record.until
+            record.crashes.clear()
+            record.local_event = ""
             record.until = now + self._options.suspect_s
             return record
         del self._records[fingerprint]
@@ -385,7 +462,3 @@
         self._records.move_to_end(fingerprint)
         if len(self._records) > self._options.max_records:
             self._records.popitem(last=False)
-
-
-def _age_ms(now: float, time: float) -> int:
-    return max(0, int((now - time) * 1000))
--- a/libs/forwarding/berylspindle_forwarding/crash_watch.py
+++ b/libs/forwarding/berylspindle_forwarding/crash_watch.py
@@ -3,30 +3,39 @@
 Terms:
   fingerprint  hash of the content of a request: method, host, target and body
   crash        a replica that closed the connection under an attempt and then accepts no connection
-  strike       a crash that counts against a fingerprint
+  strike       a crash that counts against a fingerprint; a replica that is back under its id with
+               another start can crash again
   record       the strikes of a fingerprint (`decisions.quarantine`), as VMs share them
 
 Flow: `record_connection_loss` is called for each attempt that ended with its connection. A new
 connection shows whether the replica has crashed or only the response was lost. Each record is
-stored under its own key with a lease, and every VM applies it with `merge`. `run_mode` returns how
-a request may run. A suspect first runs once as a canary, on a single shard and on a replica that it
-has not crashed yet: a crash of a replica that keeps crashing by itself is no evidence.
+stored under its own key with a lease, and every VM applies it with `merge`; so is the success of a
+suspect, which clears it on all VMs. `run_mode` returns how a request may run. A suspect first runs
+once as a canary, on a single shard and on a replica that it has not crashed yet, if there is one.
 
 Guards: the records that a VM writes are limited to `MAX_WRITES` in `WRITE_WINDOW_S`, and each
-expires with its lease. While the store is unavailable other VMs receive the records late, but this
-VM applies its own.
+expires with its lease. Records of first crashes are limited to half of that, so that those of many
+sound requests at a crashed replica don't keep back the record of the one that crashed it. While the
+store is unavailable other VMs receive the records late, but this VM applies its own.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 import xxhash
 
-from berylspindle_decisions.quarantine import Quarantine, RunMode, SuspectRecord
+from berylspindle_decisions.quarantine import (
+    FirstSeenPolicy,
+    Quarantine,
+    QuarantineLevel,
+    QuarantineOptions,
+    RunMode,
+    SuspectRecord,
+)
 from berylspindle_forwarding.replica_registry import ReplicaHandle
 from berylspindle_forwarding.request_head import ForwardRequest
 from berylspindle_model import codec
@@ -34,6 +43,19 @@
 from berylspindle_store.store import Store, StoreConflict, StoreError
 from berylspindle_telemetry.logs import logger
 
+SUSPECT_S: Final = 120.0
+"""Time in seconds for which a request that crashed a replica is run on one shard first."""
+
+FIRST_QUARANTINE_S: Final = 120.0
+"""Duration in seconds of the first quarantine. The run after it crashes a replica at each of the
+VMs that the caller reaches before they know."""
+
+FIRST_CRASH_WEIGHT: Final = 0.1
+LATER_CRASH_WEIGHT: Final = 0.3
+"""Weights of a crash under a request that was no suspect yet, and under a suspect. All VMs send to
+a replica, and which other requests of theirs were lost in its crash is not known here, so that two
+later crashes are needed."""
+
 RECORD_DELAY_S: Final = 0.1
 """Seconds between a strike and the write of its record, which then includes further strikes: a
 search may crash replicas of all its shards."""
@@ -51,6 +73,24 @@
     return xxhash.xxh3_64_hexdigest(identity)
 
 
+def make_quarantine() -> Quarantine:
+    """Return a quarantine for replicas that all VMs send to.
+
+    All replicas of a service may have crashed under a request, so a further crash of one of them
+    counts as much as that of another replica.
+    """
+    return Quarantine(
+        QuarantineOptions(
+            first_seen=FirstSeenPolicy.NEVER,
+            suspect_s=SUSPECT_S,
+            base_s=FIRST_QUARANTINE_S,
+            first_weight=FIRST_CRASH_WEIGHT,
+            later_weight=LATER_CRASH_WEIGHT,
+            same_server_weight=1.0,
+        )
+    )
+
+
 class CrashWatch:
     """Quarantine of requests that crash replicas.
 
@@ -72,6 +112,7 @@
         self._tasks: Final[set[asyncio.Task[None]]] = set()
         self._pending_records: Final[set[str]] = set()
         self._write_times: Final[deque[float]] = deque()
+        self._checks: Final[Counter[str]] = Counter()
         self._log: Final = logger("crashes")
 
     def run_mode(self, request: ForwardRequest) -> RunMode | Refusal:
@@ -89,19 +130,28 @@
         return self._quarantine.servers(self._now(), fingerprint_of(request))
 
     def record_success(self, request: ForwardRequest) -> None:
-        """Record that replicas ran a request without a crash."""
-        if not self._quarantine.is_empty:
-            self._quarantine.on_success(self._now(), fingerprint_of(request))
+        """Record that replicas ran a request without a crash; other VMs learn of a cleared one."""
+        if self._quarantine.is_empty:
+            return
+        now, fingerprint = self._now(), fingerprint_of(request)
+        was_suspect = self._quarantine.level(now, fingerprint) is QuarantineLevel.SUSPECT
+        self._quarantine.on_success(now, fingerprint)
+        if was_suspect and self._key_prefix:
+            self._spawn(self._write_record(fingerprint))
 
     def record_inconclusive(self, request: ForwardRequest) -> None:
-        """Record that a canary ended with neither a response nor a crash."""
-        self._quarantine.on_inconclusive(fingerprint_of(request))
+        """Record the end of a canary, unless a check will show whether it crashed a replica."""
+        fingerprint = fingerprint_of(request)
+        if not self._checks[fingerprint]:
+            self._quarantine.on_inconclusive(fingerprint)
 
     def record_connection_loss(
         self, request: ForwardRequest, handle: ReplicaHandle, *, elapsed_ms: float
     ) -> None:
-        """Handle a connection that broke under an attempt sent `elapsed_ms` ago."""
-        self._spawn(self._check_for_crash(fingerprint_of(request), handle, elapsed_ms))
+        """Handle a connection that broke under an attempt; `elapsed_ms` is the request's age."""
+        fingerprint = fingerprint_of(request)
+        self._checks[fingerprint] += 1
+        self._spawn(self._check_for_crash(fingerprint, handle, elapsed_ms))
 
     def merge(self, record: SuspectRecord) -> None:
         """Merge a record of another VM."""
@@ -126,13 +176,21 @@
     async def _check_for_crash(
         self, fingerprint: str, handle: ReplicaHandle, elapsed_ms: float
     ) -> None:
-        lost_at = self._now()
-        if await handle.pool.is_reachable():
+        lost_at, replica = self._now(), handle.replica
+        try:
+            is_reachable = await handle.pool.is_reachable()
+        finally:
+            self._end_check(fingerprint)
+        if is_reachable:
+            self._quarantine.on_inconclusive(fingerprint)
             return
         now = self._now()
-        elapsed_ms += (now - lost_at) * 1000
         self._quarantine.on_connection_lost(
-            now, fingerprint, handle.replica.id, elapsed_ms=elapsed_ms
+            now,
+            fingerprint,
+            replica.id,
+            start=replica.born or 0,
+            elapsed_ms=elapsed_ms + (now - lost_at) * 1000,
         )
         if not self._key_prefix or fingerprint in self._pending_records:
             return
@@ -141,14 +199,23 @@
         self._pending_records.discard(fingerprint)
         await self._write_record(fingerprint)
 
+    def _end_check(self, fingerprint: str) -> None:
+        self._checks[fingerprint] -= 1
+        if not self._checks[fingerprint]:
+            del self._checks[fingerprint]
+
     async def _write_record(self, fingerprint: str) -> None:
         """Write the record of a fingerprint, merged with the record that another VM wrote."""
         record = self._exported_record(fingerprint)
-        if record is None or not self._may_write():
+        if record is None or not self._may_write(record):
             return
         self._log.warning(
-            "request crashes replicas",
-            extra={"fingerprint": fingerprint, "level": record.level.value},
+            "request crashes replicas" if record.crashes else "suspected request succeeded",
+            extra={
+                "fingerprint": fingerprint,
+                "level": record.level.value,
+                "crashes": len(record.crashes),
+            },
         )
         key, expect = self._key_prefix + fingerprint, 0
         try:
@@ -162,21 +229,30 @@
                     current = conflict.current
                     expect = current.revision if current is not None else 0
                     if current is not None and current.value is not None:
-                        self.merge(codec.from_json(current.value, SuspectRecord))
+                        self._merge_stored(current.value)
                 else:
                     return
-        except (StoreError, codec.MalformedError) as error:
+        except StoreError as error:
             self._log.warning("crash record not written to the store", extra={"detail": str(error)})
 
+    def _merge_stored(self, value: bytes) -> None:
+        """Merge the record that is stored; one that can't be read is replaced."""
+        try:
+            self.merge(codec.from_json(value, SuspectRecord))
+        except codec.MalformedError as error:
+            self._log.warning("replaced unreadable crash record", extra={"detail": str(error)})
+
     def _exported_record(self, fingerprint: str) -> SuspectRecord | None:
         records = self._quarantine.export(self._now())
         return next((one for one in records if one.fingerprint == fingerprint), None)
 
-    def _may_write(self) -> bool:
+    def _may_write(self, record: SuspectRecord) -> bool:
         now = self._now()
+        is_first = all(not crash.is_later for crash in record.crashes)
+        limit = MAX_WRITES // 2 if is_first else MAX_WRITES
         while self._write_times and self._write_times[0] <= now - WRITE_WINDOW_S:
             self._write_times.popleft()
-        if len(self._write_times) >= MAX_WRITES:
+        if len(self._write_times) >= limit:
             return False
         self._write_times.append(now)
         return True
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -17,7 +17,6 @@
 
 from berylspindle_decisions.admission_controller import AdmissionController
 from berylspindle_decisions.forward_policy import disabled_switches
-from berylspindle_decisions.quarantine import FirstSeenPolicy, Quarantine, QuarantineOptions
 from berylspindle_decisions.reachability import Reachability
 from berylspindle_forwarding.attempt_policy import ForwardContext
 from berylspindle_forwarding.boot_clock import boot_time
@@ -36,7 +35,7 @@
     UnreadableEntry,
     VmChange,
 )
-from berylspindle_forwarding.crash_watch import CrashWatch
+from berylspindle_forwarding.crash_watch import CrashWatch, make_quarantine
 from berylspindle_forwarding.dialect import Dialect
 from berylspindle_forwarding.forward_options import ForwardOptions
 from berylspindle_forwarding.forward_parts import (
@@ -66,9 +65,6 @@
 from berylspindle_telemetry.supervisor import keep_running
 from berylspindle_wire.http import HttpLimits, HttpRequest, HttpResponse
 
-SUSPECT_S: Final = 120.0
-"""Time in seconds for which a request that crashed a replica is run on one shard first."""
-
 RECENT_REQUEST_S: Final = 5.0
 """Time in seconds for which this VM counts as in use after a caller's request."""
 
@@ -113,7 +109,7 @@
         )
         self.registry: Final = make_registry(options, self.vms, self._reach, self.rollouts, metrics)
         self._crashes: Final = CrashWatch(
-            Quarantine(QuarantineOptions(first_seen=FirstSeenPolicy.NEVER, suspect_s=SUSPECT_S)),
+            make_quarantine(),
             store,
             key_prefix=options.suspects_prefix,
             now=loop.time,
--- a/libs/forwarding/berylspindle_forwarding/scatter_gather.py
+++ b/libs/forwarding/berylspindle_forwarding/scatter_gather.py
@@ -88,7 +88,8 @@
             context, route, times, avoided, request.organisation
         )
         no_replica_wait = self._policy.no_replica_wait_s()
-        wait_until = context.now() + no_replica_wait
+        self._admitted_at: Final = context.now()
+        wait_until = self._admitted_at + no_replica_wait
         self._hedged: Final = [
             HedgedRequest(
                 service,
@@ -250,7 +251,7 @@
         self._on_ended(attempt)
         self._policy.record_end(now, attempt, end)
         if end.kind is ExchangeFailureKind.LOST:
-            elapsed_ms = (now - attempt.record.sent_at) * 1000
+            elapsed_ms = (now - self._admitted_at) * 1000
             self._context.crashes.record_connection_loss(
                 self._request, attempt.handle, elapsed_ms=elapsed_ms
             )
--- a/libs/model/berylspindle_model/messages.py
+++ b/libs/model/berylspindle_model/messages.py
@@ -119,7 +119,8 @@
     `error` is None for success. `versions` are the snapshots that the server reports, newest last,
     for success and for SNAPSHOT_GONE. `queued_ms` is the queueing time at the owner and `served_ms`
     the time from dispatch to reply, both measured by the owner. `lost_together` is the number of
-    attempts, including this one, that the owner lost at once with the server's connections; 0 for
+    attempts, including this one, that the owner lost at once with the server's connections, and
+    `loss_event` the number of such events that the owner has seen at the server; both are 0 for
     all other outcomes.
     """
 
@@ -138,6 +139,7 @@
     queued_ms: float = 0.0
     served_ms: float = 0.0
     lost_together: int = 0
+    loss_event: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/dataplane/test_server_worker.py
+++ b/tests/dataplane/test_server_worker.py
@@ -337,6 +337,7 @@
         harness.backend.end(name, error=ErrorKind.CONNECTION_LOST, run=RunState.MAY_HAVE_RUN)
         await run_loop()
     assert [harness.replies[name].lost_together for name in ("one", "two")] == [2, 2]
+    assert [harness.replies[name].loss_event for name in ("one", "two")] == [1, 1]
     entry = EntryQuarantine(Timeline("entry"))
     for fingerprint, name in (("lot 1", "one"), ("lot 2", "two")):
         entry.record_reply(1.0, fingerprint, harness.replies[name])
--- a/tests/decisions/test_load_quarantine.py
+++ b/tests/decisions/test_load_quarantine.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
+from crash_model import CrashModel
+from hypothesis import given
+from hypothesis import strategies as st
 
 from berylspindle_decisions.quarantine import (
     FirstSeenPolicy,
@@ -14,6 +18,8 @@
 from berylspindle_model.errors import ErrorKind, Refusal, RunState
 
 BAD, GOOD = "bad", "good"
+SHARED = QuarantineOptions(first_weight=0.1, later_weight=0.3, same_server_weight=1.0)
+"""Options where other VMs send to the same servers."""
 
 
 def quarantine_after_strikes(now: float = 0.0) -> Quarantine:
@@ -99,6 +105,133 @@
     assert quarantine.level(15.0, GOOD) is QuarantineLevel.SUSPECT
 
 
+def test_request_that_crashes_each_start_of_the_only_server_is_quarantined() -> None:
+    """Guard against a request that goes on crashing servers which are all known to have crashed."""
+    quarantine = Quarantine(SHARED)
+    for start in range(2):
+        quarantine.on_connection_lost(start * 4.0, BAD, "s0", start=start, elapsed_ms=5)
+        assert quarantine.level(start * 4.0, BAD) is QuarantineLevel.SUSPECT
+    quarantine.on_connection_lost(8.0, BAD, "s0", start=2, elapsed_ms=5)
+    assert quarantine.level(8.0, BAD) is QuarantineLevel.QUARANTINED
+
+
+def test_crashes_of_one_server_that_only_its_owner_sends_to_count_less() -> None:
+    """Guard against refusing a harmless request whose server crashes by itself, and against a
+    request that goes on crashing the only server of its shard."""
+    quarantine = Quarantine()
+    quarantine.on_connection_lost(0.0, BAD, "s0", start=1, elapsed_ms=5)
+    quarantine.on_connection_lost(4.0, BAD, "s0", start=2, elapsed_ms=5)
+    assert quarantine.level(4.0, BAD) is QuarantineLevel.SUSPECT
+    quarantine.on_connection_lost(8.0, BAD, "s0", start=3, elapsed_ms=5)
+    assert quarantine.level(8.0, BAD) is QuarantineLevel.QUARANTINED
+
+
+def test_crash_before_the_new_start_is_announced_is_another_one() -> None:
+    """Guard against a crash that is not counted since the replica's entry was still the old one."""
+    quarantine = Quarantine(SHARED)
+    for n in range(3):
+        quarantine.on_connection_lost(n * 4.0, BAD, "s0", start=7, elapsed_ms=5)
+    assert quarantine.level(8.0, BAD) is QuarantineLevel.QUARANTINED
+
+
+def test_canaries_of_two_vms_at_known_servers_are_combined() -> None:
+    """Guard against crashes at several VMs of which each lacks the others'."""
+    vms = [Quarantine(SHARED) for _ in range(3)]
+    vms[0].on_connection_lost(0.0, BAD, "s0", start=1, elapsed_ms=5)
+    vms[0].on_connection_lost(0.0, BAD, "s1", start=1, elapsed_ms=5)
+    for vm in vms[1:]:
+        vm.merge(vms[0].export(0.1), 1.0)
+    vms[1].on_connection_lost(4.0, BAD, "s0", start=2, elapsed_ms=5)
+    vms[2].on_connection_lost(4.01, BAD, "s1", start=2, elapsed_ms=5)
+    assert [vm.level(4.1, BAD) for vm in vms] == 3 * [QuarantineLevel.SUSPECT]
+    vms[0].merge((*vms[2].export(4.1), *vms[1].export(4.1)), 5.0)
+    assert vms[0].level(5.0, BAD) is QuarantineLevel.QUARANTINED
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.05, 2.0, 30.0])
+def test_strikes_of_vms_that_did_not_know_of_each_other_are_told_apart_by_no_age(
+    delay_s: float,
+) -> None:
+    """Guard against a harmless request that several VMs had at servers which crashed together.
+
+    The age of a strike grows on the way between VMs, so that it looked later than it was.
+    """
+    vms = [Quarantine(SHARED) for _ in range(3)]
+    for n, vm in enumerate(vms):
+        vm.on_connection_lost(0.0, GOOD, f"s{n}", start=1, elapsed_ms=5)
+    for vm in vms:
+        for other in vms:
+            vm.merge(other.export(0.1), 0.1 + delay_s)
+        assert vm.level(0.1 + delay_s, GOOD) is QuarantineLevel.SUSPECT
+        assert vm.decide(0.1 + delay_s, GOOD) is RunMode.CANARY
+
+
+@given(
+    strikes=st.lists(
+        st.tuples(st.integers(0, 2), st.sampled_from("abc"), st.integers(1, 2), st.integers(1, 3)),
+        min_size=1,
+        max_size=6,
+    ),
+    order=st.permutations(range(3)),
+)
+def test_records_give_the_same_evidence_in_any_order(
+    strikes: list[tuple[int, str, int, int]], order: list[int]
+) -> None:
+    """Guard against VMs that disagree since they received the records in different orders."""
+    vms = [Quarantine() for _ in range(3)]
+    for number, (vm, server, start, in_flight) in enumerate(strikes):
+        vms[vm].on_connection_lost(
+            number * 1.0, BAD, server, start=start, elapsed_ms=5, in_flight=in_flight
+        )
+    records = [vm.export(10.0) for vm in vms]
+    evidence = []
+    for arrivals in (order, range(3)):
+        reader = Quarantine()
+        for vm in (*arrivals, *arrivals):
+            reader.merge(records[vm], 10.5)
+        evidence.append({frozenset(record.crashes) for record in reader.export(10.5)})
+    assert evidence[0] == evidence[1]
+
+
+def test_success_at_one_vm_clears_a_request_that_another_one_quarantined() -> None:
+    """Guard against a harmless request refused for a minute, which another VM has just run."""
+    vms = [Quarantine(SHARED) for _ in range(2)]
+    for vm in vms:
+        vm.on_connection_lost(0.0, GOOD, "s0", start=1, elapsed_ms=5)
+    for start in (2, 3):
+        vms[0].on_connection_lost(start * 1.0, GOOD, "s0", start=start, elapsed_ms=5)
+    assert vms[0].level(3.0, GOOD) is QuarantineLevel.QUARANTINED
+    vms[1].on_success(3.0, GOOD)
+    vms[0].merge(vms[1].export(3.1), 4.0)
+    assert vms[0].level(4.0, GOOD) is QuarantineLevel.CLEARED
+
+
+@pytest.mark.parametrize("replicas", [1, 2, 3])
+@pytest.mark.parametrize("attempts", [1, 2])
+def test_request_that_crashes_replicas_is_stopped_and_a_sound_one_is_not(
+    replicas: int, attempts: int
+) -> None:
+    """Guard against crashes that are told apart by the replica's id alone, or by their age.
+
+    The records of eight VMs take up to two seconds, and announcements of restarts 1.5 seconds.
+    """
+    for seed in range(20):
+        model = CrashModel(replicas=replicas, attempts=attempts, seed=seed)
+        model.play(92.0)
+        assert len(model.crashes) >= 3
+        assert model.late_retries <= 3, f"seed {seed}"
+        assert not model.sound_quarantined, f"seed {seed}"
+
+
+def test_number_of_quarantines_in_a_record_is_bounded() -> None:
+    """Guard against a record of another writer that ends the task which follows the store."""
+    quarantine = quarantine_after_strikes()
+    (record,) = quarantine.export(0.0)
+    quarantine.merge((attrs.evolve(record, generation=2, times=10**9),), 0.0)
+    quarantine.on_connection_lost(3.0, BAD, "t0", elapsed_ms=5)
+    assert quarantine.level(3.0, BAD) is QuarantineLevel.QUARANTINED
+
+
 def test_first_seen_requests_run_as_canaries_during_an_alert_only() -> None:
     quarantine = Quarantine()
     quarantine.on_success(0.0, "known")
--- a/tests/forwarding/test_crash_watch.py
+++ b/tests/forwarding/test_crash_watch.py
@@ -7,13 +7,15 @@
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 
-from forward_site import NoStore, Site, merged_route, open_site, plain_route
+import attrs
+import pytest
+from forward_site import NoStore, Site, merged_route, open_site, plain_route, until
 
-from berylspindle_decisions.quarantine import SuspectRecord
+from berylspindle_decisions.quarantine import QuarantineLevel, SuspectRecord
 from berylspindle_forwarding.catalogue_changes import SuspectChange
 from berylspindle_forwarding.crash_watch import MAX_WRITES
 from berylspindle_model import codec
-from berylspindle_model.routing import Organisation
+from berylspindle_model.routing import Organisation, Route
 from berylspindle_standins.forward_replica import ReplyFault
 from berylspindle_store.store import Lease, StoreConflict, StoredValue, StoreUnavailable
 from berylspindle_telemetry.logs import log_context
@@ -49,7 +51,9 @@
 
 
 @asynccontextmanager
-async def open_fleet(vms: int) -> AsyncIterator[tuple[RecordStore, list[Site]]]:
+async def open_fleet(
+    vms: int, replicas: int = REPLICAS
+) -> AsyncIterator[tuple[RecordStore, list[Site]]]:
     """Yield VMs that know the same replicas, all of which crash on `POISON`."""
     async with AsyncExitStack() as stack:
         store = RecordStore()
@@ -58,7 +62,7 @@
             store.sites.append(await stack.enter_async_context(open_site(store=store, **options)))
         first, *others = store.sites
         for service in (*SHARDS, "booking"):
-            for number in range(REPLICAS):
+            for number in range(replicas):
                 replica = await first.replica(f"{service}-{number}", service)
                 replica.behaviour.crash_marker = POISON
                 for site in others:
@@ -97,6 +101,74 @@
         assert (await sites[0].ask("/lots/sound")).status == 200
 
 
+async def restart_replicas(sites: list[Site], born: int) -> None:
+    """Restart all replicas under their ids and addresses, once no VM checks for a crash."""
+    await until(lambda: not any(site.forwarder._crashes._tasks for site in sites))
+    for replica in sites[0].replicas.values():
+        await replica.restart()
+        for site in sites:
+            site.announce(replica, born=born)
+
+
+@pytest.mark.parametrize("replicas", [1, 2, 3])
+@pytest.mark.parametrize(
+    ("path", "routes"),
+    [
+        ("/booking/", (plain_route(repeatable=True, max_replicas=2),)),
+        ("/booking/", (plain_route(repeatable=False),)),
+        ("/lots/", (merged_route(SHARDS),)),
+    ],
+)
+async def test_request_that_crashes_all_usable_replicas_is_stopped(
+    path: str, routes: tuple[Route, ...], replicas: int
+) -> None:
+    """Guard against crashes that go on once all replicas of a service have crashed before.
+
+    The replicas are back under their ids, and the caller comes again at any VM.
+    """
+    async with open_fleet(4, replicas) as (_, sites):
+        for site in sites:
+            site.route(*routes)
+        reached = []
+        for number in range(12):
+            before = count_crashes(sites)
+            response = await sites[number % 4].ask(f"{path}{POISON}", left_ms=1500)
+            assert response.status in (502, 503, 504)
+            reached.append(count_crashes(sites) > before)
+            await restart_replicas(sites, born=number + 1)
+            # A sound request that shares the replicas is served, also if it comes again.
+            for sound in ("sound", f"sound-{number}"):
+                served = await sites[(number + 1) % 4].ask(f"{path}{sound}")
+                assert served.status == 200
+        crashing = [number for number, crashed in enumerate(reached) if crashed]
+        assert len(crashing) <= 3 + 3
+        assert max(crashing) < 6
+
+
+async def test_success_of_a_suspect_clears_it_at_all_vms() -> None:
+    """Guard against a sound request that runs once at a time at each VM after a crash."""
+    async with open_fleet(4) as (store, sites):
+        for replica in sites[0].replicas.values():
+            replica.behaviour.service_time_s = 0.2
+        path = "/booking/sound"
+        sound = asyncio.create_task(sites[0].ask(path))
+        await asyncio.sleep(0.05)
+        for replica in sites[0].replicas.values():
+            if replica.counts.runs:
+                replica.crash()
+        assert (await sound).status == 200
+        await restart_replicas(sites, born=1)
+        await until(lambda: store.entries)
+        await sites[1].ask(path)
+        await until(lambda: not any(site.forwarder._crashes._tasks for site in sites))
+        quarantines = [site.forwarder._crashes._quarantine for site in sites]
+        now = asyncio.get_running_loop().time()
+        for quarantine in quarantines:
+            assert [quarantine.level(now, one.fingerprint) for one in quarantine.export(now)] == [
+                QuarantineLevel.CLEARED
+            ]
+
+
 async def test_lost_responses_do_not_count_as_crashes() -> None:
     """Guard against a request refused for a minute after healthy replicas lost its responses."""
     async with open_fleet(2) as (store, sites):
@@ -131,6 +203,22 @@
             await sites[0].ask(f"/booking/{POISON}-{number}", left_ms=500)
             await revive_replicas(sites, sites[0])
         assert 0 < store.writes <= MAX_WRITES
+        first = store.writes
+        await sites[0].ask(f"/booking/{POISON}-0", left_ms=500)
+        await revive_replicas(sites, sites[0])
+        assert store.writes == first + 1, "records of first crashes kept back one of a suspect"
+
+
+async def test_unreadable_crash_record_is_replaced() -> None:
+    """Guard against a record of another writer that keeps those of a request from other VMs."""
+    async with open_fleet(2) as (store, sites):
+        await sites[0].ask(f"/booking/{POISON}", left_ms=1500)
+        await restart_replicas(sites, born=1)
+        ((key, entry),) = store.entries.items()
+        store.entries[key] = attrs.evolve(entry, value=b"\xff")
+        await sites[1].ask(f"/booking/{POISON}", left_ms=1500)
+        await restart_replicas(sites, born=2)
+        assert len(codec.from_json(store.entries[key].value, SuspectRecord).crashes) == 3
 
 
 async def test_crash_records_and_canaries_hold_no_key() -> None:
