Probe replicas of data centres whose VMs do not answer

Cause: unanswered probes of VMs in two data centres and 0.18 s without a contact count as isolation; a VM that counts as isolated sends nothing to other data centres, so that no contact can end it, and lost VMs stay announced for up to 30 s. Ruled out: the replicas, which all accept connections.

Change: a connection to a replica is opened beside each probe of a data centre whose VMs don't answer, and to data centres that have replicas and no VM while this VM counts as isolated.

Both new tests of test_cut_off failed before.

--- a/libs/forwarding/berylspindle_forwarding/isolation_monitor.py
+++ b/libs/forwarding/berylspindle_forwarding/isolation_monitor.py
@@ -1,7 +1,8 @@
 """Detect that this VM is cut off from the other data centres, and set its readiness.
 
 Terms:
-  probe           a short request to a peer in another data centre that checks reachability
+  probe           a short request to a peer in another data centre that checks reachability, or a
+                  connection to a replica there
   served locally  said of a route with enough shards that have a replica in this VM's data centre
 
 Flow: `run` checks reachability at fixed intervals, more often while an attempt at another data
@@ -12,6 +13,11 @@
 overdue. `record_peer_report` records whether the VM whose mirror is followed is cut off; if so,
 this VM is suspected to be cut off too.
 
+While the peers of a data centre don't answer, a replica there is probed as well: peers that were
+lost for good are announced for some seconds more, and this VM may be one of the few that are left.
+Data centres with replicas and without any peer are probed before this VM counts as cut off for
+longer, since a cut-off VM sends no request that could end that state.
+
 Guards: where twenty VMs share a data centre's callers, most of them see too few requests to detect
 a cut themselves. The balancer sends callers to each VM that is ready, and diverts them to another
 data centre only once all VMs of this one are unready. A VM that is cut off and stays ready keeps
@@ -28,7 +34,7 @@
 from berylspindle_decisions.reachability import MIN_ATTEMPTS, Reachability
 from berylspindle_forwarding.catalogue_changes import VmEntry
 from berylspindle_forwarding.replica_registry import ReplicaRegistry
-from berylspindle_forwarding.vm_probe import Prober
+from berylspindle_forwarding.vm_probe import Prober, accepts_connections
 from berylspindle_model.routing import Route, RoutingTable
 
 CHECK_INTERVAL_S: Final = 0.1
@@ -92,6 +98,7 @@
         self._on_change: Final = on_change
         self._cut_off_since: float | None = None
         self._suspected_by: object = None
+        self._without_answer: Final[set[str]] = set()
 
     @property
     def is_cut_off(self) -> bool:
@@ -131,7 +138,7 @@
                 now = self._now()
                 self._update(now)
                 if self._reach.should_probe(now):
-                    await self._probe(self._peers())
+                    await asyncio.gather(self._probe(self._peers()), self._probe_without_peers())
                 elif self._reach.is_response_overdue(now) and self._may_confirm(now):
                     probes.create_task(self._confirm())
                 elif self._probes_when_idle() and now >= self._idle_probe_at:
@@ -190,12 +197,37 @@
         return random.choice(connected or vms)
 
     async def _probe_one(self, vm: VmEntry) -> bool:
-        self._reach.on_probe(self._now(), vm.data_centre)
+        """Probe a VM, and a replica of its data centre if the last VM there did not answer."""
+        data_centre = vm.data_centre
+        self._reach.on_probe(self._now(), data_centre)
+        probes = [self._probe_vm(vm)]
+        if data_centre in self._without_answer:
+            probes.append(self._probe_replica(data_centre))
+        return any(await asyncio.gather(*probes))
+
+    async def _probe_vm(self, vm: VmEntry) -> bool:
         if not await self._prober.is_responding(vm.host, vm.port, timeout=PROBE_TIMEOUT_S):
+            self._without_answer.add(vm.data_centre)
             return False
+        self._without_answer.discard(vm.data_centre)
         self._reach.on_contact(self._now(), vm.data_centre)
         return True
 
+    async def _probe_without_peers(self) -> None:
+        """Probe a replica of each other data centre that has no VM."""
+        others = self._registry.data_centres - self._peers().keys() - {self._data_centre}
+        await asyncio.gather(*(self._probe_replica(data_centre) for data_centre in others))
+
+    async def _probe_replica(self, data_centre: str) -> bool:
+        replicas = self._registry.in_data_centre(data_centre)
+        if not replicas:
+            return False
+        replica = random.choice(replicas).replica
+        if not await accepts_connections(replica.host, replica.port, timeout=PROBE_TIMEOUT_S):
+            return False
+        self._reach.on_contact(self._now(), data_centre)
+        return True
+
     def _is_served_locally(self) -> bool:
         table = self._table()
         return table is not None and all(self._is_route_local(route) for route in table.routes)
--- a/libs/forwarding/berylspindle_forwarding/replica_registry.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_registry.py
@@ -140,6 +140,17 @@
         """Return the handles of all replicas."""
         return self._handles.values()
 
+    def in_data_centre(self, data_centre: str) -> list[ReplicaHandle]:
+        """Return the replicas of a data centre, none if it is excluded."""
+        if data_centre in self._excluded_data_centres:
+            return []
+        return [one for one in self._handles.values() if one.replica.data_centre == data_centre]
+
+    @property
+    def data_centres(self) -> set[str]:
+        """Return the data centres that have a replica."""
+        return {handle.replica.data_centre for handle in self._handles.values()}
+
     def get(self, replica_id: str) -> ReplicaHandle | None:
         """Return the handle of a replica."""
         return self._handles.get(replica_id)
--- a/libs/forwarding/berylspindle_forwarding/vm_probe.py
+++ b/libs/forwarding/berylspindle_forwarding/vm_probe.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Final
 
 from berylspindle_forwarding.mirror import MirrorStore
 from berylspindle_store.store import StoreUnavailable
+from berylspindle_wire.addresses import invalid_address_as_os_error
 
 
 async def is_responding(host: str, port: int, *, timeout: float) -> bool:
@@ -18,6 +20,19 @@
         await mirror.close()
 
 
+async def accepts_connections(host: str, port: int, *, timeout: float) -> bool:
+    """Return whether an address accepts a new connection within `timeout` seconds."""
+    try:
+        async with asyncio.timeout(timeout):
+            with invalid_address_as_os_error(host, port):
+                _, writer = await asyncio.open_connection(host, port)
+    except OSError:
+        # A refused or timed out connection is a result of the probe, not an error.
+        return False
+    writer.close()
+    return True
+
+
 class Prober:
     """Probe a few VMs over connections that stay open while they respond.
 
--- a/tests/forwarding/test_cut_off.py
+++ b/tests/forwarding/test_cut_off.py
@@ -6,8 +6,9 @@
 import socket
 from contextlib import ExitStack
 
-from forward_site import Site, merged_route, open_site, plain_route
+from forward_site import Site, merged_route, open_site, plain_route, until
 
+from berylspindle_forwarding.catalogue_changes import VmChange, VmEntry
 from berylspindle_forwarding.isolation_monitor import CHECK_INTERVAL_S
 from berylspindle_model.errors import ErrorKind
 
@@ -83,3 +84,49 @@
             assert site.forwarder.readiness_refusal() is None
             assert (await site.ask("/lots/1")).status == 200
             monitor.cancel()
+
+
+async def open_remote_site(site: Site, *, peers: bool) -> None:
+    """Announce shards in two other data centres, and lost VMs there that refuse connections."""
+    for data_centre in ("b", "c"):
+        for shard in SHARDS:
+            await site.replica(f"{shard}-{data_centre}", shard, data_centre=data_centre)
+        if peers:
+            with socket.socket() as lost:
+                lost.bind(("127.0.0.1", 0))
+                port = lost.getsockname()[1]
+            entry = VmEntry(host="127.0.0.1", port=port, data_centre=data_centre)
+            site.forwarder.on_change(VmChange(f"vm-{data_centre}", entry))
+    site.route(merged_route(SHARDS, least=0.9))
+    site.forwarder.on_listed()
+
+
+async def test_vm_whose_peers_are_lost_is_not_cut_off_while_replicas_answer() -> None:
+    """Guard against VMs that are left after a loss of VMs and refuse all requests for good."""
+    async with open_site() as site:
+        await open_remote_site(site, peers=True)
+        monitor = asyncio.create_task(site.forwarder._isolation_monitor.run())
+        assert (await site.ask("/lots/0")).status == 200
+        # Lost VMs are detected, and their data centres probed at replicas from then on.
+        await asyncio.sleep(1.5)
+        for number in range(6):
+            assert site.forwarder.readiness_refusal() is None
+            assert (await site.ask(f"/lots/{number}")).status == 200
+            await asyncio.sleep(0.4)
+        monitor.cancel()
+
+
+async def test_cut_off_vm_without_known_peers_returns_once_replicas_answer() -> None:
+    """Guard against a VM that stays cut off after the entries of its lost peers have expired."""
+    async with open_site() as site:
+        await open_remote_site(site, peers=False)
+        assert (await site.ask("/lots/0")).status == 200
+        await asyncio.sleep(0.2)
+        now, reach = asyncio.get_running_loop().time(), site.forwarder._reach
+        for data_centre in ("b", "c"):
+            reach.on_probe(now - 1.0, data_centre)
+        assert reach.is_isolated(now)
+        monitor = asyncio.create_task(site.forwarder._isolation_monitor.run())
+        await until(lambda: not reach.is_isolated(asyncio.get_running_loop().time()), 1.0)
+        assert (await site.ask("/lots/1")).status == 200
+        monitor.cancel()
