Test that the shutdown of the daemon answers requests at replicas

Cause: no test failed where ForwardDaemon.shut_down did not call begin_stop: the tests of the front call it themselves. Then such a request is answered as if its caller had left.

--- a/tests/forwarding/test_stop.py
+++ b/tests/forwarding/test_stop.py
@@ -5,10 +5,19 @@
 import asyncio
 
 import pytest
-from forward_site import Site, merged_route, open_site, plain_route, until
+from forward_site import HOST, Site, merged_route, open_site, plain_route, until
 from test_relay import TWELVE, open_halves
 
+from berylspindle_forwarding.forward_daemon import (
+    CLOSE_RESERVE_S,
+    EdgeOptions,
+    Endpoint,
+    ForwardDaemon,
+)
+from berylspindle_model.errors import ErrorKind
 from berylspindle_model.routing import ServiceRules
+from berylspindle_telemetry.metrics import Metrics
+from berylspindle_wire.client import HttpClient
 from berylspindle_wire.http import HttpResponse
 
 ONE_CONNECTION = ServiceRules(name="booking", max_connections=1)
@@ -35,6 +44,27 @@
         assert (await booking).status == 502
 
 
+async def test_shutdown_of_the_daemon_answers_a_request_at_a_replica() -> None:
+    """Guard against a shutdown that takes its own cancellations for callers that have left."""
+    async with open_site() as site:
+        replica = await site.replica("r1", "booking")
+        replica.behaviour.service_time_s = 3.0
+        site.route(plain_route(repeatable=False))
+        edges = EdgeOptions(callers=Endpoint("127.0.0.1", 0), grace_s=CLOSE_RESERVE_S + 0.3)
+        daemon = ForwardDaemon(edges, site.forwarder, Metrics())
+        await daemon.start()
+        async with HttpClient("127.0.0.1", daemon._callers.port) as client:
+            headers = {"host": HOST, "x-request-id": "request-1"}
+            booking = asyncio.create_task(
+                client.request("POST", "/booking/1", headers=headers, body=b"{}", timeout=10)
+            )
+            await until(lambda: replica.counts.runs)
+            await daemon.shut_down()
+            response = await booking
+        assert response.status == 502
+        assert response.body.startswith(ErrorKind.SHUTTING_DOWN.value.encode())
+
+
 async def test_stop_reports_a_request_that_waits_for_a_connection_as_not_run() -> None:
     """Guard against an unknown outcome, which callers can't retry, of a booking that never ran."""
     async with open_site() as site:
