--- a/tests/platform_adapter/test_main.py
+++ b/tests/platform_adapter/test_main.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import os
+import signal
+import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
+from free_ports import free_ports
 
 SETTINGS = """
 node = "front-1"
@@ -49,3 +53,29 @@
     assert completed.returncode == code
     assert completed.stderr.startswith(f"berylspindle: {message}")
     assert len(completed.stderr.splitlines()) == 1
+
+
+def test_reload_signal_during_the_start_does_not_end_the_process(tmp_path: Path) -> None:
+    """Guard against a daemon that ends because its settings change while it is loaded."""
+    port, metrics = free_ports(2)
+    path = tmp_path / "node.toml"
+    path.write_text(
+        f"metrics_port = {metrics}\n" + SETTINGS.replace("127.0.0.1:9", f"127.0.0.1:{port}")
+    )
+    with subprocess.Popen(
+        [sys.executable, "-m", "berylspindle_adapter.main", f"127.0.0.1:{port}"],
+        env={**os.environ, "BERYLSPINDLE_NODE_FILE": str(path)},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    ) as process:
+        deadline = time.monotonic() + 20
+        with socket.socket() as caller:
+            # The port is bound before the rest of the program is loaded.
+            while caller.connect_ex(("127.0.0.1", port)):
+                assert time.monotonic() < deadline
+                time.sleep(0.001)
+        for _ in range(50):
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.02)
+        assert process.poll() is None
+        process.kill()
