Rebuild installed libraries for another architecture or interpreter

Cause: target/deps and the environment were taken as up to date by the pins' times alone. A folder carried over from another kind of machine holds compiled modules that can't be loaded there.

Change: both stamps name the interpreter's ABI and, for the environment, its version; one of another kind is made anew.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-STAMP := $(VENV)/.installed
+# An environment that was made for another interpreter or architecture is made anew.
+KIND := $(shell $(PYTHON) -c 'import platform, sysconfig; print(sysconfig.get_config_var("SOABI"), platform.python_version(), sep="-")')
+STAMP := $(VENV)/.installed-$(KIND)
 LIBS := model decisions telemetry wire store dataplane controlplane forwarding client daemon cli standins bench
 DEPLOYMENT ?= kurabito
 
@@ -11,10 +13,10 @@
 setup: $(STAMP)
 
 $(STAMP): constraints.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
-	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	test -e $(STAMP) || $(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/pip install -q -r constraints.txt -r requirements-dev.txt
 	$(BIN)/pip install -q --no-build-isolation -c constraints.txt --config-settings editable_mode=compat $(foreach lib,$(LIBS),-e libs/$(lib)) -e platform
-	touch $(STAMP)
+	touch $@
 
 format: setup
 	$(BIN)/black -q libs platform tests
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,17 +1,19 @@
 #!/bin/sh
 # Install what the entry role needs into target/deps; do nothing where that is up to date.
 #
-# Libraries come by pip, pinned by constraints.txt, and only when the pins change. The project's own
+# Libraries come by pip, pinned by constraints.txt, and only when the pins, the interpreter or the
+# architecture change: their compiled modules fit one kind of each. The project's own
 # packages are copied beside them and compiled, for processes run them from a read-only place.
 set -eu
 deps=target/deps
 pins=target/.pins
 built=target/.built
-if [ ! -e "$pins" ] || [ constraints.txt -nt "$pins" ] || [ deploy/requirements.txt -nt "$pins" ]; then
+kind=$(python3 -c 'import sysconfig; print(sysconfig.get_config_var("SOABI"))')
+if [ ! -e "$pins" ] || [ "$(cat "$pins")" != "$kind" ] || [ constraints.txt -nt "$pins" ] || [ deploy/requirements.txt -nt "$pins" ]; then
   rm -rf "$deps"
   python3 -m pip install -q --disable-pip-version-check --target "$deps" \
     -c constraints.txt -r deploy/requirements.txt
-  touch "$pins"
+  echo "$kind" > "$pins"
   rm -f "$built"
 fi
 if [ -e "$built" ] && [ -z "$(find libs platform deploy/build.sh -newer "$built" \
