--- a/tests/platform_adapter/test_whole_path.py
+++ b/tests/platform_adapter/test_whole_path.py
@@ -33,6 +33,7 @@
         leaving = platform.replicas["i-booking-0"]
         platform.announce(leaving, state="draining")
         platform.kv.put("servers/i-broken", b"\xff\x00")
+        platform.kv.put("servers/i-nested", 2000 * b'{"last":' + b"0" + 2000 * b"}")
         platform.drop_merged_route()
         async with asyncio.timeout(5):
             while (await platform.request("/lots/2")).status != 404:  # noqa: ASYNC110
