--- a/tests/platform_adapter/test_entries.py
+++ b/tests/platform_adapter/test_entries.py
@@ -184,6 +184,12 @@
     assert change.reason
 
 
+@pytest.mark.parametrize("name", ["", " i-1", "i-1\r\nx: 1", "i-\x7f", "i-日"])
+def test_announcement_whose_id_no_header_can_carry_is_unreadable(name: str):
+    """Guard against requests that are never sent, as each names its replica in a header."""
+    assert isinstance(read_change(f"servers/{name}", ANNOUNCEMENT), UnreadableEntry)
+
+
 NESTED = 3000 * b'{"last":' + b"0" + 3000 * b"}"
 
 
