Keep the port of a stand-in replica while it is down

Cause: a crashed stand-in closed its listening socket, and its port is from the range of outgoing connections.

Change: a crash binds the port without listening, which refuses connections, and the restart listens on that socket. Nothing of the product is changed.

--- a/libs/standins/berylspindle_standins/forward_replica.py
+++ b/libs/standins/berylspindle_standins/forward_replica.py
@@ -145,13 +145,18 @@
         self._resumed.set()
         self._writers: Final[set[asyncio.StreamWriter]] = set()
         self._server: asyncio.Server | None = None
+        self._reserved: socket.socket | None = None
         self._crashes = 0
         self.port = 0
 
     async def listen(self, port: int = 0) -> None:
         """Accept connections; port 0 picks a free port, or the previous one after `crash`."""
         serve = functools.partial(self._serve, self._crashes)
-        self._server = await asyncio.start_server(serve, "127.0.0.1", port or self.port)
+        if self._reserved is not None and port in (0, self.port):
+            self._server = await asyncio.start_server(serve, sock=self._reserved)
+            self._reserved = None
+        else:
+            self._server = await asyncio.start_server(serve, "127.0.0.1", port or self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def pause(self) -> None:
@@ -167,6 +172,7 @@
         self._crashes += 1
         if self._server is not None:
             self._server.close()
+        self._reserve_port()
         for writer in tuple(self._writers):
             _reset(writer)
 
@@ -179,8 +185,20 @@
         """Stop listening and reset all connections."""
         self.resume()
         self.crash()
+        if self._reserved is not None:
+            self._reserved.close()
+            self._reserved = None
         await asyncio.sleep(0)
 
+    def _reserve_port(self) -> None:
+        """Bind the port without listening: it refuses connections, and no other socket takes it."""
+        if self._reserved is not None or not self.port:
+            return
+        reserved = socket.socket()
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind(("127.0.0.1", self.port))
+        self._reserved = reserved
+
     async def _serve(
         self, crashes: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/standins/test_forward_replica.py
+++ b/tests/standins/test_forward_replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 
 import pytest
@@ -27,3 +28,18 @@
     assert answer == b""
     writer.close()
     await replica.close()
+
+
+async def test_port_of_a_crashed_replica_is_taken_by_no_other_socket() -> None:
+    """Guard against a restart that fails since an outgoing connection has the replica's port."""
+    replica = await start_replica("r1", "booking")
+    replica.crash()
+    with socket.socket() as caller:
+        assert caller.connect_ex(("127.0.0.1", replica.port)) == errno.ECONNREFUSED
+    with socket.socket() as other, pytest.raises(OSError, match="in use"):
+        other.bind(("127.0.0.1", replica.port))
+    await replica.restart()
+    with socket.socket() as caller:
+        caller.setblocking(False)
+        assert caller.connect_ex(("127.0.0.1", replica.port)) in (0, errno.EINPROGRESS)
+    await replica.close()
