Replace a lender's stock that expires too soon to be lent

Callers saw: requests of an organisation within its limit refused as over quota, several in a row.

Cause: a lender asks its owner once a second. Tokens that expire within WAITING_SPEND_S can't be lent any more, but counted as its stock. An ask that a request caused in the last tenth of a second of nine such tokens was for one token, and the lender refused all requests until its next ask was due, 0.6 s later. A stall of the process of 0.12 s or more moves asks there. Seen in a log of the asks: `wanted 1 held 9` at the owner, then four refusals without an ask.

Change: stock counts only while it can be lent. What an ask states as held is unchanged, and so is the bound on all tokens.

--- a/libs/decisions/berylspindle_decisions/token_pool.py
+++ b/libs/decisions/berylspindle_decisions/token_pool.py
@@ -5,7 +5,8 @@
 most once a second, and spends nothing that its owner counts as expired or spent.
 
 Terms:
-  stock     tokens held for the requests of about the next second
+  stock     tokens held for the requests of about the next second; those that expire too soon to be
+            lent are no part of it
   waiting   requests that wait for an ask; their tokens expire `WAITING_SPEND_S` after the ask
   standby   bucket that may be spent while the last ask failed; it refills at the standby rate from
             `STANDBY_BEGIN_S` after the last grant
@@ -228,7 +229,8 @@
         self._in_flight = self._sequence
         self._sent_at = now
         self._waiting = waiting
-        self._wanted = waiting + max(0, stock - here) + self._unfilled
+        lendable = sum(batch.count for batch in self._batches if _is_lendable(batch, now))
+        self._wanted = waiting + max(0, stock - lendable) + self._unfilled
         self._unfilled = 0
         self._spent_since_ask = handed
         return QuotaAsk(
@@ -393,12 +395,7 @@
         waiting = max(0, ask.waiting - grant.tokens)
         wanted = max(0, ask.wanted - max(grant.tokens, ask.waiting))
         self._here(now)
-        # A waiting request may spend its token up to `WAITING_SPEND_S` from now.
-        usable = [
-            batch
-            for batch in self._batches
-            if batch.is_waiting or batch.expiry >= now + WAITING_SPEND_S
-        ]
+        usable = [batch for batch in self._batches if batch.is_waiting or _is_lendable(batch, now)]
         for_waiting = self._draw_from(usable, waiting)
         stock_batches = [batch for batch in usable if batch.count and not batch.is_waiting]
         available = sum(batch.count for batch in stock_batches)
@@ -440,3 +437,8 @@
             batch.count -= step
             drawn += step
         return drawn
+
+
+def _is_lendable(batch: _Batch, now: float) -> bool:
+    """Return whether a waiting request of another VM may still spend the tokens in time."""
+    return batch.expiry >= now + WAITING_SPEND_S
--- a/tests/decisions/test_quota_service.py
+++ b/tests/decisions/test_quota_service.py
@@ -8,9 +8,15 @@
 
 import pytest
 
-from berylspindle_decisions.quota_limits import QuotaBounds, quota_limit
+from berylspindle_decisions.quota_limits import (
+    TOKEN_TTL_S,
+    WAITING_SPEND_S,
+    QuotaBounds,
+    quota_limit,
+)
 from berylspindle_decisions.quota_owner import QuotaOwner
 from berylspindle_decisions.token_pool import TokenPool
+from berylspindle_model.quota_messages import QuotaAsk
 
 CENTRES = 3
 VMS = 26
@@ -129,3 +135,37 @@
         deployment.cut_off = {1}
         served += deployment.serve(60.0, 66.0)
     assert share_admitted(served, 1) >= least
+
+
+def test_a_lender_replaces_stock_that_expires_too_soon_to_be_lent() -> None:
+    """Guard against a lender that uses its ask for one token and then refuses until the next."""
+    limit = quota_limit(30.0, 30.0, QuotaBounds())
+    assert limit is not None
+    lender = TokenPool("org", "lender", 1, limit)
+    owner = QuotaOwner(limit, 0.0, is_fresh=False)
+
+    def fill(now: float, sequence: int) -> int:
+        request = QuotaAsk(
+            organisation="org",
+            vm="vm",
+            incarnation=2,
+            sequence=sequence,
+            received=sequence - 1,
+            held=0,
+            standby_rate=0.0,
+            standby_tokens=0,
+            demand=6.0,
+            waiting=1,
+            wanted=1,
+        )
+        assert lender.lend(now, request) is not None
+        ask = lender.next_ask(now, 1)
+        assert ask is not None
+        grant = owner.lend(now, ask)
+        assert grant is not None
+        lender.on_grant(now, ask.sequence, grant)
+        return grant.tokens
+
+    first = fill(0.0, 1)
+    assert first > 1
+    assert fill(TOKEN_TTL_S - WAITING_SPEND_S / 2, 2) >= first
