Let requests equal to a running canary wait for its end

Callers saw: after a crash under it, a sound request that comes again with the same path got 503 "its canary is running" at once, from every VM, for as long as the canary waited for a replica. While all replicas of a service were down for 3 s, 10 to 14 requests of 14 a second were not served, with a retry at another VM; requests with paths of their own waited and were served.

Change: an equal request waits for the canary, for half of its time left at most, and is decided on again. After a crash it is refused: each would crash one replica more before other VMs know. The Retry-After of these refusals is a third of the time left at most.

--- a/libs/decisions/berylspindle_decisions/quarantine.py
+++ b/libs/decisions/berylspindle_decisions/quarantine.py
@@ -250,6 +250,13 @@
         record.canary_until = now + self._options.canary_s
         return RunMode.CANARY
 
+    def canary_end(self, now: float, fingerprint: str) -> float | None:
+        """Return when the next canary of a suspect may run, or None if no canary is running."""
+        record = self._unexpired(now, fingerprint)
+        if record is None or record.level is not QuarantineLevel.SUSPECT:
+            return None
+        return record.canary_until if now < record.canary_until else None
+
     def check_attempt(self, now: float, fingerprint: str, *, canary: bool) -> Refusal | None:
         """Return an owner's refusal of an attempt, or None if it may be dispatched.
 
--- a/libs/forwarding/berylspindle_forwarding/crash_watch.py
+++ b/libs/forwarding/berylspindle_forwarding/crash_watch.py
@@ -12,6 +12,7 @@
 stored under its own key with a lease, and every VM applies it with `merge`; so is the success of a
 suspect, which clears it on all VMs. `run_mode` returns how a request may run. A suspect first runs
 once as a canary, on a single shard and on a replica that it has not crashed yet, if there is one.
+Equal requests wait for the end of the canary: a sound one is served then.
 
 Guards: the records that a VM writes are limited to `MAX_WRITES` in `WRITE_WINDOW_S`, and each
 expires with its lease. Records of first crashes are limited to half of that, so that those of many
@@ -64,7 +65,15 @@
 WRITE_WINDOW_S: Final = 10.0
 MAX_LEASE_S: Final = 300.0
 
+MAX_WAIT_SHARE: Final = 0.5
+"""Longest wait for a canary, as a share of the request's time left: the caller can still retry."""
+
+MAX_WAITING: Final = 200
+"""Requests that wait for canaries at a time."""
+
 RETRY_AFTER_MS: Final = 1000
+MAX_RETRY_SHARE: Final = 1 / 3
+"""Retry-after of a refusal in milliseconds, and its maximum as a share of the time left."""
 
 
 def fingerprint_of(request: ForwardRequest) -> str:
@@ -113,17 +122,26 @@
         self._pending_records: Final[set[str]] = set()
         self._write_times: Final[deque[float]] = deque()
         self._checks: Final[Counter[str]] = Counter()
+        self._waiting: Final[dict[asyncio.Future[bool], str]] = {}
         self._log: Final = logger("crashes")
 
-    def run_mode(self, request: ForwardRequest) -> RunMode | Refusal:
-        """Return how a request may run; CANARY reserves the single canary of a suspect."""
+    async def run_mode(self, request: ForwardRequest, deadline: float) -> RunMode | Refusal:
+        """Return how a request may run; CANARY reserves the single canary of a suspect.
+
+        While its canary is running, the request waits for a part of the time until `deadline`.
+        """
         if self._quarantine.is_empty:
             return RunMode.PLAIN
-        mode = self._quarantine.decide(self._now(), fingerprint_of(request))
-        if isinstance(mode, RunMode):
-            return mode
-        wait_ms = mode.retry_after_ms or RETRY_AFTER_MS
-        return Refusal(mode.kind, mode.detail, RunState.NOT_RUN, retry_after_ms=wait_ms)
+        fingerprint, now = fingerprint_of(request), self._now()
+        wait_until = now + MAX_WAIT_SHARE * (deadline - now)
+        mode = self._quarantine.decide(now, fingerprint)
+        while isinstance(mode, Refusal):
+            may_run = now < wait_until and await self._await_canary(fingerprint, wait_until)
+            now = self._now()
+            if not may_run:
+                return _refusal(mode, left_s=deadline - now)
+            mode = self._quarantine.decide(now, fingerprint)
+        return mode
 
     def crashed_replicas(self, request: ForwardRequest) -> frozenset[str]:
         """Return the replicas that crashed under a request."""
@@ -136,6 +154,7 @@
         now, fingerprint = self._now(), fingerprint_of(request)
         was_suspect = self._quarantine.level(now, fingerprint) is QuarantineLevel.SUSPECT
         self._quarantine.on_success(now, fingerprint)
+        self._wake(fingerprint, may_run=True)
         if was_suspect and self._key_prefix:
             self._spawn(self._write_record(fingerprint))
 
@@ -143,7 +162,7 @@
         """Record the end of a canary, unless a check will show whether it crashed a replica."""
         fingerprint = fingerprint_of(request)
         if not self._checks[fingerprint]:
-            self._quarantine.on_inconclusive(fingerprint)
+            self._on_inconclusive(fingerprint)
 
     def record_connection_loss(
         self, request: ForwardRequest, handle: ReplicaHandle, *, elapsed_ms: float
@@ -155,7 +174,11 @@
 
     def merge(self, record: SuspectRecord) -> None:
         """Merge a record of another VM."""
-        self._quarantine.merge((record,), self._now())
+        now, fingerprint = self._now(), record.fingerprint
+        self._quarantine.merge((record,), now)
+        level = self._quarantine.level(now, fingerprint)
+        if level is not QuarantineLevel.SUSPECT:
+            self._wake(fingerprint, may_run=level is QuarantineLevel.CLEARED)
 
     async def close(self) -> None:
         """Cancel all tasks."""
@@ -163,6 +186,35 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def _await_canary(self, fingerprint: str, wait_until: float) -> bool:
+        """Wait for the end of a canary; return False if equal requests may not run after it.
+
+        After a crash they may not: each would crash a replica before other VMs know.
+        """
+        now = self._now()
+        canary_end = self._quarantine.canary_end(now, fingerprint)
+        if canary_end is None or len(self._waiting) >= MAX_WAITING:
+            return False
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._waiting[future] = fingerprint
+        try:
+            async with asyncio.timeout(min(wait_until, canary_end) - now):
+                return await future
+        except TimeoutError:
+            return True
+        finally:
+            del self._waiting[future]
+
+    def _wake(self, fingerprint: str, *, may_run: bool) -> None:
+        """End the wait of the requests with a fingerprint."""
+        for future, waiting_for in self._waiting.items():
+            if waiting_for == fingerprint and not future.done():
+                future.set_result(may_run)
+
+    def _on_inconclusive(self, fingerprint: str) -> None:
+        self._quarantine.on_inconclusive(fingerprint)
+        self._wake(fingerprint, may_run=True)
+
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
@@ -182,7 +234,7 @@
         finally:
             self._end_check(fingerprint)
         if is_reachable:
-            self._quarantine.on_inconclusive(fingerprint)
+            self._on_inconclusive(fingerprint)
             return
         now = self._now()
         self._quarantine.on_connection_lost(
@@ -192,6 +244,7 @@
             start=replica.born or 0,
             elapsed_ms=elapsed_ms + (now - lost_at) * 1000,
         )
+        self._wake(fingerprint, may_run=False)
         if not self._key_prefix or fingerprint in self._pending_records:
             return
         self._pending_records.add(fingerprint)
@@ -256,3 +309,9 @@
             return False
         self._write_times.append(now)
         return True
+
+
+def _refusal(mode: Refusal, *, left_s: float) -> Refusal:
+    """Return the refusal of a request whose caller waits for `left_s` more seconds."""
+    wait_ms = min(mode.retry_after_ms or RETRY_AFTER_MS, MAX_RETRY_SHARE * max(0.0, left_s) * 1000)
+    return Refusal(mode.kind, mode.detail, RunState.NOT_RUN, retry_after_ms=int(wait_ms))
--- a/libs/forwarding/berylspindle_forwarding/front.py
+++ b/libs/forwarding/berylspindle_forwarding/front.py
@@ -303,9 +303,12 @@
     async def _execute(self, routed: RoutedRequest) -> HttpResponse:
         """Execute a request and record its outcome."""
         forward, id_header = routed.forward, self._context.dialect.request_id
-        mode = self._context.crashes.run_mode(forward)
+        times = routed.times
+        with self._refused_if_cancelled(forward, times.started, RunState.NOT_RUN, routed.route):
+            mode = await self._context.crashes.run_mode(forward, times.deadline)
         if isinstance(mode, Refusal):
-            return self._refuse(mode, forward, routed.route)
+            elapsed_ms = (self._context.now() - times.started) * 1000
+            return self._refuse(mode, forward, routed.route, elapsed_ms=elapsed_ms)
         work = self._canary(routed) if mode is RunMode.CANARY else self._plain(routed)
         outcome: HttpResponse | Refusal = Refusal(ErrorKind.INTERNAL)
         try:
--- a/tests/forwarding/test_crash_watch.py
+++ b/tests/forwarding/test_crash_watch.py
@@ -169,6 +169,54 @@
             ]
 
 
+async def open_suspect(sites: list[Site], path: str) -> None:
+    """Crash the replicas that run a request, so that it is a suspect, and restart them."""
+    request = asyncio.create_task(sites[0].ask(path, left_ms=1500))
+    await until(lambda: any(one.counts.runs for one in sites[0].replicas.values()))
+    for replica in sites[0].replicas.values():
+        replica.crash()
+    await request
+    await restart_replicas(sites, born=1)
+
+
+async def test_equal_requests_wait_for_the_canary_and_are_served_after_it() -> None:
+    """Guard against a sound request that one caller gets served and all others are refused."""
+    async with open_fleet(1) as (_, sites):
+        for replica in sites[0].replicas.values():
+            replica.behaviour.service_time_s = 0.2
+        await open_suspect(sites, "/booking/sound")
+        served = await asyncio.gather(*(sites[0].ask("/booking/sound") for _ in range(4)))
+        assert [response.status for response in served] == [200] * 4
+
+
+async def test_requests_that_wait_for_a_canary_do_not_run_after_its_crash() -> None:
+    """Guard against equal requests that crash a replica each, one after the other."""
+    async with open_fleet(1) as (_, sites):
+        await sites[0].ask(f"/booking/{POISON}", left_ms=1500)
+        await restart_replicas(sites, born=1)
+        before = count_crashes(sites)
+        responses = await asyncio.gather(*(sites[0].ask(f"/booking/{POISON}") for _ in range(4)))
+        assert sorted(response.status for response in responses) == [502, 503, 503, 503]
+        assert count_crashes(sites) == before + 1
+
+
+async def test_wait_for_a_canary_leaves_time_for_a_retry() -> None:
+    """Guard against callers that wait behind a slow request until their deadlines."""
+    async with open_fleet(1) as (_, sites):
+        for replica in sites[0].replicas.values():
+            replica.behaviour.service_time_s = 1.5
+        await open_suspect(sites, "/booking/sound")
+        canary = asyncio.create_task(sites[0].ask("/booking/sound", left_ms=4000))
+        await asyncio.sleep(0.05)
+        began = asyncio.get_running_loop().time()
+        response = await sites[0].ask("/booking/sound", left_ms=900)
+        waited = asyncio.get_running_loop().time() - began
+        assert response.status == 503
+        assert waited < 0.9
+        assert waited + float(response.headers["retry-after"]) < 0.9
+        assert (await canary).status == 200
+
+
 async def test_lost_responses_do_not_count_as_crashes() -> None:
     """Guard against a request refused for a minute after healthy replicas lost its responses."""
     async with open_fleet(2) as (store, sites):
