Count lost replies for a replica's process, and only once on their way between VMs

Callers would see: non-idempotent requests avoid a replica that was restarted under its id for what its earlier process had lost, and for longer than the loss counts.

Cause: reports of lost replies name a replica by its id alone, and state ages that lack the time in transit. A loss looks later after each exchange; two VMs that report to each other with 0.3 s each way prolong it for as long as they do.

Change: reports name the replica's process (id and start), and a loss that is later by less than a second counts as the known one. VMs with and without this change ignore each other's reports.

--- a/libs/decisions/berylspindle_decisions/loss_reports.py
+++ b/libs/decisions/berylspindle_decisions/loss_reports.py
@@ -7,7 +7,8 @@
 
 Terms:
   loss    an attempt whose connection closed, or whose response was malformed, after it was sent
-  report  replicas with the ages of their last losses, exchanged between VMs
+  report  replicas with the ages of their last losses, exchanged between VMs; a replica is named by
+          its process, so that one that is restarted under its id has no losses
 
 Flow: `on_loss` records this VM's own losses and `merge` the reports of others; `report` returns
 this VM's report. `is_lossy` is read when a replica is chosen for a request that must not be
@@ -15,7 +16,9 @@
 
 Thresholds: a loss counts for `LOSS_TTL_S`, the usual duration of such failures; a healthy replica
 that lost a single response gets its share of requests again after that. A report holds the latest
-`MAX_REPORTED` replicas at most, with ages rather than times, since clocks differ.
+`MAX_REPORTED` replicas at most, with ages rather than times, since clocks differ. An age does not
+include the time in transit, so that a loss looks later on each way: one that is later by less than
+`SAME_LOSS_S` counts as the known one, or VMs that report to each other would prolong it.
 """
 
 from __future__ import annotations
@@ -25,6 +28,7 @@
 
 LOSS_TTL_S: Final = 5.0
 MAX_REPORTED: Final = 32
+SAME_LOSS_S: Final = 1.0
 
 
 class LossReports:
@@ -41,7 +45,9 @@
         """Merge another VM's report: replicas with the ages of their losses in milliseconds."""
         for replica, age_ms in report.items():
             lost_at = now - max(0, age_ms) / 1000
-            if lost_at > self._lost_at.get(replica, now - LOSS_TTL_S):
+            known = self._lost_at.get(replica)
+            oldest = now - LOSS_TTL_S if known is None else known + SAME_LOSS_S
+            if lost_at > oldest:
                 self._lost_at[replica] = lost_at
 
     def report(self, now: float) -> dict[str, int]:
--- a/libs/forwarding/berylspindle_forwarding/attempt_policy.py
+++ b/libs/forwarding/berylspindle_forwarding/attempt_policy.py
@@ -269,7 +269,7 @@
             self._context.registry.mark_misplaced(attempt.handle)
         else:
             if verdict is ReplyClass.FOREIGN:
-                self._context.registry.losses.on_loss(now, attempt.handle.replica.id)
+                self._context.registry.losses.on_loss(now, attempt.handle.replica.process_id)
             else:
                 self._record_version(now, attempt, None)
             self._record_failure(now, attempt, verdict.value)
@@ -280,7 +280,7 @@
         if end.kind is ExchangeFailureKind.NOT_SENT:
             attempt.handle.health.on_not_sent(attempt)
         else:
-            self._context.registry.losses.on_loss(now, attempt.handle.replica.id)
+            self._context.registry.losses.on_loss(now, attempt.handle.replica.process_id)
         self._record_failure(now, attempt, f"{end.kind.value} {end.detail}")
 
     def _record_failure(self, now: float, attempt: Attempt, reason: str) -> None:
--- a/libs/forwarding/berylspindle_forwarding/replica_registry.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_registry.py
@@ -336,7 +336,7 @@
                     continue
                 if self._reach.is_unreachable(now, handle.replica.data_centre):
                     cost += STALLED_COST
-            if non_repeatable and self.losses.is_lossy(now, handle.replica.id):
+            if non_repeatable and self.losses.is_lossy(now, handle.replica.process_id):
                 cost += LOSSY_COST
             if cost < best_cost:
                 best, best_cost = handle, cost
--- a/libs/model/berylspindle_model/routing.py
+++ b/libs/model/berylspindle_model/routing.py
@@ -141,6 +141,11 @@
     born: int | None = None
     version: str = ""
 
+    @property
+    def process_id(self) -> str:
+        """Return a name of this process of the replica; after a restart it is another one."""
+        return f"{self.id}@{self.born or 0}"
+
 
 @attrs.frozen(kw_only=True)
 class Organisation:
--- a/tests/decisions/test_load_loss_reports.py
+++ b/tests/decisions/test_load_loss_reports.py
@@ -57,6 +57,19 @@
     assert one.report(16.0) == {}
 
 
+def test_transit_does_not_prolong_a_loss() -> None:
+    """Guard against VMs that report a loss to each other and take it for a later one each time."""
+    one, peer = LossReports(), LossReports()
+    one.on_loss(10.0, "i-1")
+    sent_at, transit = 10.0, 0.3
+    while sent_at < 10.0 + 2 * LOSS_TTL_S:
+        sender, receiver = (one, peer) if int(sent_at / transit) % 2 else (peer, one)
+        receiver.merge(sent_at + transit, sender.report(sent_at))
+        sent_at += transit
+    assert not one.is_lossy(10.0 + LOSS_TTL_S, "i-1")
+    assert not peer.is_lossy(sent_at, "i-1")
+
+
 def test_a_report_is_bounded_and_holds_the_latest_losses() -> None:
     """Guard against messages that grow with the replicas of a failed data centre."""
     reports = LossReports()
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -355,6 +355,27 @@
         await mirror.close(0.0)
 
 
+async def test_restarted_replica_has_no_losses_of_its_earlier_process() -> None:
+    """Guard against bookings that avoid a replica for what a process under its id has lost."""
+    async with open_site() as site:
+        restarted = await site.replica("restarted", "booking", born=1)
+        restarted.behaviour.reply_fault, restarted.behaviour.faulty_replies = (
+            ReplyFault.CONNECTION_RESET,
+            1,
+        )
+        site.route(plain_route())
+        assert (await site.ask("/booking/1", method="POST")).status == 502
+        await site.replica("other", "booking")
+        site.announce(restarted, born=2)
+        picked = [
+            site.forwarder.registry.pick(
+                "booking", tried=frozenset(), is_hedge=False, non_repeatable=True
+            )
+            for _ in range(40)
+        ]
+        assert {one.replica.id for one in picked if one is not None} == {"restarted", "other"}
+
+
 @pytest.mark.parametrize(
     ("suffix", "pace", "counts"),
     [
