Wait for the resets of all connections before a crash counts as a lost response

Cause: the check after a lost connection took any free connection without unread input for proof that the replica runs. The connections of a process that ends are reset one after the other, and the check runs when the first reset arrives. Ruled out for the missed crash: the limit of writes, the start of the replica, the age of the request.

Change: where a connection is free or being opened, the check waits 50 ms for the others' resets.

Result: the new test, where the others are reset 20 ms later, failed before.

--- a/libs/forwarding/berylspindle_forwarding/replica_pool.py
+++ b/libs/forwarding/berylspindle_forwarding/replica_pool.py
@@ -47,6 +47,10 @@
 """Idle time in seconds after which a connection is checked for closure by the peer before reuse;
 replicas close idle connections after several seconds."""
 
+RESET_SETTLE_S: Final = 0.05
+"""Seconds after a lost connection in which the resets of the others arrive, if their process has
+ended: they come one after the other, and those that have not arrived look open."""
+
 
 @attrs.frozen(kw_only=True)
 class PoolOptions:
@@ -142,9 +146,14 @@
             self._start_opening()
 
     async def is_reachable(self) -> bool:
-        """Return whether the address accepts a connection; a new one stays in the pool."""
-        if any(not connection.has_unread_input() for connection in self._free):
-            return True
+        """Return whether the process is running, after a connection to it was lost.
+
+        It is if it keeps a free connection open or accepts a new one, which stays in the pool.
+        """
+        if self._free or self._tasks:
+            await asyncio.sleep(RESET_SETTLE_S)
+            if any(not connection.has_unread_input() for connection in self._free):
+                return True
         if self._closed:
             return False
         if not self._tasks:
--- a/libs/standins/berylspindle_standins/forward_replica.py
+++ b/libs/standins/berylspindle_standins/forward_replica.py
@@ -71,6 +71,7 @@
         failure_status: status of a request that runs and then fails.
         misdirected: whether to answer as misdirected, like another replica at the same address.
         crash_marker: text in a target that crashes the replica; empty for none.
+        reset_delay_s: time from the reset of that request's connection to that of the others.
         idle_timeout_s: time after which an idle connection is closed.
         omit_keep_alive: whether to omit the idle timeout from replies; otherwise each states it in
             whole seconds if it is at least 1 s.
@@ -86,6 +87,7 @@
     failure_status: int = 500
     misdirected: bool = False
     crash_marker: str = ""
+    reset_delay_s: float = 0.0
     idle_timeout_s: float = 5.0
     omit_keep_alive: bool = False
     load_suffix: str = ""
@@ -167,12 +169,20 @@
         """End a pause."""
         self._resumed.set()
 
-    def crash(self) -> None:
-        """Crash: stop listening and reset all connections."""
+    def crash(self, first: asyncio.StreamWriter | None = None) -> None:
+        """Crash: stop listening and reset all connections, the others after `first` if given."""
         self._crashes += 1
         if self._server is not None:
             self._server.close()
         self._reserve_port()
+        if first is None or not self.behaviour.reset_delay_s:
+            self._reset_all()
+            return
+        _reset(first)
+        self._writers.discard(first)
+        asyncio.get_running_loop().call_later(self.behaviour.reset_delay_s, self._reset_all)
+
+    def _reset_all(self) -> None:
         for writer in tuple(self._writers):
             _reset(writer)
 
@@ -281,7 +291,7 @@
         counts.remaining_ms.append(int(headers.get(self._dialect.time_left.decode(), "0")))
         if behaviour.crash_marker and behaviour.crash_marker in target:
             counts.crashes += 1
-            self.crash()
+            self.crash(writer)
             return False
         if behaviour.service_time_s:
             await asyncio.sleep(behaviour.service_time_s)
--- a/tests/forwarding/test_crash_watch.py
+++ b/tests/forwarding/test_crash_watch.py
@@ -244,6 +244,17 @@
         assert count_crashes(sites) == before
 
 
+async def test_crash_counts_while_other_connections_still_look_open() -> None:
+    """Guard against a crash that is taken for a lost response, since resets arrive one by one."""
+    async with open_fleet(1, replicas=1) as (store, sites):
+        replica = sites[0].replicas["booking-0"]
+        replica.behaviour.service_time_s = 0.05
+        await asyncio.gather(*(sites[0].ask(f"/booking/{number}") for number in range(3)))
+        replica.behaviour.reset_delay_s = 0.02
+        await sites[0].ask(f"/booking/{POISON}", left_ms=500)
+        await until(lambda: store.entries)
+
+
 async def test_number_of_crash_records_is_limited() -> None:
     """Guard against a store overloaded by a caller whose requests all crash replicas."""
     async with open_fleet(1) as (store, sites):
