Reject numbers that are not finite in queries of the mirror

Cause: `float` accepts "nan". A timer due at NaN has no order among the timers of the event loop, and a capacity of NaN goes into this VM's entry.

--- a/libs/forwarding/berylspindle_forwarding/mirror.py
+++ b/libs/forwarding/berylspindle_forwarding/mirror.py
@@ -254,17 +254,17 @@
         if losses := query.get("losses"):
             self.losses.merge(self._now(), unpack_losses(losses))
         if follower := query.get("follower"):
-            bears = float(query.get("bears", "0"))
+            bears = _parse_finite(query.get("bears", "0"))
             self.followers.on_read(self._now(), follower, capacity=bears)
         if report := query.get("rollouts"):
             self.on_rollout_report(query.get("vm", ""), report)
         return await self._watch(query)
 
     async def _watch(self, query: dict[str, str]) -> MirrorChanges:
-        after, wait = int(query.get("after", "0")), float(query.get("wait", "0"))
+        after, wait = int(query.get("after", "0")), _parse_finite(query.get("wait", "0"))
         known_cut_off = query.get("cut_off") == "1"
         received = self._clock()
-        confirmed_at = received - float(query.get("age", "inf"))
+        confirmed_at = received - _parse_finite(query["age"]) if "age" in query else -math.inf
         self._record_reader(query.get("mirror", ""), confirmed_at)
         try:
             async with asyncio.timeout(min(wait, MAX_WAIT_S)):
@@ -460,3 +460,14 @@
     pairs = (part.rpartition(":") for part in text.split(","))
     ages = ((replica, parse_digits(age)) for replica, _, age in pairs if replica)
     return {replica: age for replica, age in ages if age is not None}
+
+
+def _parse_finite(text: str) -> float:
+    """Return a number from a reader's query. Raises ValueError, also for infinity and NaN.
+
+    A timer that is due at NaN would disorder all timers of the event loop.
+    """
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f"not a finite number: {text!r}")
+    return number
--- a/tests/forwarding/test_mirror.py
+++ b/tests/forwarding/test_mirror.py
@@ -139,6 +139,16 @@
     """A store that is only compared by identity."""
 
 
+@pytest.mark.parametrize("value", ["nan", "inf", "-inf", "1e999", "x"])
+@pytest.mark.parametrize("field", ["wait", "bears", "age"])
+async def test_query_with_a_number_that_is_not_finite_is_rejected(field: str, value: str) -> None:
+    """Guard against a timer at NaN, which delays the other timers of the event loop."""
+    query = {"after": "0", "wait": "0", "follower": "vm-2", field: value}
+    request = HttpRequest(method="GET", path=WATCH_PATH, query=query, headers={}, body=b"")
+    mirror = Mirror(asyncio.get_running_loop().time)
+    assert (await mirror.handle(request)).status == 400
+
+
 async def test_calls_alternate_between_mirrors_and_the_store_while_it_is_unavailable() -> None:
     """Guard against a VM rejected by the store that never probes it again, or follows no peer."""
     clock = [0.0]
