State the key of a crash and the report of a failed task in one place each

No change of behaviour. A new suspicion no longer copies the number of quarantines of a cleared record, which is always zero.

--- a/libs/decisions/berylspindle_decisions/quarantine.py
+++ b/libs/decisions/berylspindle_decisions/quarantine.py
@@ -139,6 +139,11 @@
     event: str = ""
     weight: float = 1.0
 
+    @property
+    def key(self) -> _CrashKey:
+        """Return what tells it apart from other crashes under the same fingerprint."""
+        return self.server, self.start, self.repeat
+
 
 _CrashKey = tuple[str, int | None, int]
 
@@ -191,8 +196,7 @@
 
     def add(self, crash: Crash) -> bool:
         """Add a crash, or what another report of it states; return whether that was new."""
-        key = crash.server, crash.start, crash.repeat
-        known = self.crashes.get(key)
+        known = self.crashes.get(crash.key)
         if known is not None:
             is_later = known.is_later or crash.is_later
             crash = attrs.evolve(
@@ -201,7 +205,7 @@
                 event="" if is_later else max(known.event, crash.event),
                 weight=max(known.weight, crash.weight),
             )
-        self.crashes[key] = crash
+        self.crashes[crash.key] = crash
         return crash != known
 
     def next_repeat(self, server: str, start: int | None) -> int:
@@ -389,9 +393,7 @@
                 generation=received.generation,
                 known_since=now,
                 until=now + received.left_ms / 1000,
-                crashes={
-                    (crash.server, crash.start, crash.repeat): crash for crash in received.crashes
-                },
+                crashes={crash.key: crash for crash in received.crashes},
                 times=received.times,
                 canary_until=record.canary_until if record is not None else float("-inf"),
             ),
@@ -431,7 +433,6 @@
             generation=old.generation + 1 if old is not None else 1,
             known_since=now,
             until=now + self._options.suspect_s,
-            times=old.times if old is not None else 0,
         )
         self._store(fingerprint, record)
         return record
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -62,7 +62,7 @@
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.logs import logger
 from berylspindle_telemetry.metrics import Metrics
-from berylspindle_telemetry.supervisor import keep_running
+from berylspindle_telemetry.supervisor import keep_running, report_failure
 from berylspindle_wire.http import HttpLimits, HttpRequest, HttpResponse
 
 RECENT_REQUEST_S: Final = 5.0
@@ -429,12 +429,7 @@
         self._update_diversion()
 
     def _on_task_failure(self, task: str, error: Exception) -> None:
-        self._metrics.count(names.TASK_FAILURES, task=task)
-        self._log.error(
-            "task failed and is started again",
-            extra={"task": task},
-            exc_info=(type(error), error, error.__traceback__),
-        )
+        report_failure(self._log, self._metrics, task, error)
 
     def _update_diversion(self) -> None:
         """Have callers with open connections move to other VMs while this one is not ready."""
--- a/libs/forwarding/berylspindle_forwarding/quota_service.py
+++ b/libs/forwarding/berylspindle_forwarding/quota_service.py
@@ -36,7 +36,7 @@
 from berylspindle_telemetry import metric_names as names
 from berylspindle_telemetry.logs import logger
 from berylspindle_telemetry.metrics import Metrics
-from berylspindle_telemetry.supervisor import keep_running
+from berylspindle_telemetry.supervisor import keep_running, report_failure
 from berylspindle_wire.http import HttpRequest, HttpResponse
 
 UPKEEP_INTERVAL_S: Final = 0.5
@@ -194,12 +194,7 @@
                     await asyncio.sleep(0)
 
     def _on_upkeep_failure(self, error: Exception) -> None:
-        self._metrics.count(names.TASK_FAILURES, task="quota upkeep")
-        logger("quotas").error(
-            "task failed and is started again",
-            extra={"task": "quota upkeep"},
-            exc_info=(type(error), error, error.__traceback__),
-        )
+        report_failure(logger("quotas"), self._metrics, "quota upkeep", error)
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/libs/telemetry/berylspindle_telemetry/supervisor.py
+++ b/libs/telemetry/berylspindle_telemetry/supervisor.py
@@ -11,6 +11,11 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+from logbook import Logger
+
+from berylspindle_telemetry import metric_names as names
+from berylspindle_telemetry.metrics import Metrics
+
 RESTART_MIN_S: Final = 0.2
 RESTART_MAX_S: Final = 10.0
 """Bounds in seconds of the pause before a restart, which doubles with each failure: a task that
@@ -47,3 +52,13 @@
             pause = RESTART_MIN_S
         await asyncio.sleep(pause)
         pause = min(RESTART_MAX_S, 2 * pause)
+
+
+def report_failure(log: Logger, metrics: Metrics, task: str, error: Exception) -> None:
+    """Count the failure of a task that is started again, and log it with its traceback."""
+    metrics.count(names.TASK_FAILURES, task=task)
+    log.error(
+        "task failed and is started again",
+        extra={"task": task},
+        exc_info=(type(error), error, error.__traceback__),
+    )
