Report a VM as not ready if the supervision of its tasks ends

Cause: `keep_running` ended without a failure if a future that its task awaits was cancelled, which a task group ignores, and with an error if the report of a failure raised one; nobody awaits the task of `Forwarder.run`.

--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -277,6 +277,14 @@
         await self._relay.close()
         await self.registry.close()
 
+    def on_run_end(self, task: asyncio.Task[None]) -> None:
+        """Report this VM as not ready for good if `run` was not cancelled: nothing is followed."""
+        if task.cancelled():
+            return
+        self._stop_following()
+        self._metrics.count(names.TASK_FAILURES, task="forwarding")
+        self._log.error("forwarding has ended", extra={"detail": repr(task.exception())})
+
     def on_change(self, change: Change) -> None:
         """Apply one change of the catalogue."""
         if isinstance(change, TableChange):
@@ -424,7 +432,10 @@
 
     def _on_catalogue_failure(self, error: Exception) -> None:
         """Report this VM as not ready until all entries have been listed again."""
+        self._stop_following()
         self._on_task_failure("catalogue", error)
+
+    def _stop_following(self) -> None:
         self._is_following = False
         self._update_diversion()
 
@@ -517,6 +528,7 @@
     forwarder = Forwarder(options, store, reader, metrics, clock)
     stack.push_async_callback(forwarder.close)
     task = asyncio.get_running_loop().create_task(forwarder.run())
+    task.add_done_callback(forwarder.on_run_end)
 
     async def stop() -> None:
         task.cancel()
--- a/libs/telemetry/berylspindle_telemetry/supervisor.py
+++ b/libs/telemetry/berylspindle_telemetry/supervisor.py
@@ -35,8 +35,9 @@
 ) -> None:
     """Await `run` until cancelled, again after each failure.
 
-    A return of `run` is a failure unless it `may_end`. The pause is at its minimum again after a
-    run of `RESTART_MAX_S` or more.
+    A return of `run` is a failure unless it `may_end`. So is a cancellation that does not come from
+    outside: it ends `run` if a future that it awaits was cancelled. The pause is at its minimum
+    again after a run of `RESTART_MAX_S` or more.
     """
     pause = RESTART_MIN_S
     while True:
@@ -46,6 +47,11 @@
             if may_end:
                 return
             on_failure(TaskEndedError("the task has ended"))
+        except asyncio.CancelledError as error:
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
+                raise
+            on_failure(TaskEndedError(f"a future of the task was cancelled: {error}"))
         except Exception as error:
             on_failure(error)
         if now() - started >= RESTART_MAX_S:
--- a/tests/forwarding/test_task_failures.py
+++ b/tests/forwarding/test_task_failures.py
@@ -104,6 +104,18 @@
         assert metrics.counter(names.TASK_FAILURES, task="catalogue").value == 3
 
 
+async def test_vm_whose_tasks_have_ended_is_not_ready(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a ready VM that follows nothing, since the report of a failure failed."""
+    async with open_vm() as (shared, forwarder, _):
+        for target, name in ((forwarder.registry, "set_table"), (forwarder, "_on_task_failure")):
+            failing = FailingOnce(getattr(target, name), failures=100)
+            monkeypatch.setattr(target, name, failing)
+        shared.put("table", b"")
+        await until(lambda: forwarder.readiness_refusal() is not None, IN_FORCE_S)
+        await asyncio.sleep(4 * RESTART_MIN_S)
+        assert forwarder.readiness_refusal() is not None
+
+
 async def test_failed_task_is_started_again_and_affects_no_other(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -130,3 +142,18 @@
             await keep_running(end, errors.append)
     assert len(errors) >= 2
     assert all(isinstance(error, TaskEndedError) for error in errors)
+
+
+async def test_cancellation_of_an_awaited_future_is_a_failure() -> None:
+    """Guard against a task that ends as if it were cancelled, which a task group ignores."""
+    errors: list[Exception] = []
+
+    async def await_cancelled() -> None:
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        future.cancel()
+        await future
+
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(4 * RESTART_MIN_S):
+            await keep_running(await_cancelled, errors.append)
+    assert len(errors) >= 2
