Go on reading the reports of a backend server after an unexpected error

Callers would see: requests at a backend server of the other data plane that is leaving.

Cause: an error in the task that reads a server's health reports ended it without a trace.

Change: the task is supervised; a failure is recorded in the time line and reading goes on.

--- a/libs/dataplane/berylspindle_dataplane/server_worker.py
+++ b/libs/dataplane/berylspindle_dataplane/server_worker.py
@@ -31,9 +31,11 @@
 from berylspindle_model.backend_protocol import BackendState
 from berylspindle_model.configuration import Server
 from berylspindle_model.errors import ErrorKind, Refusal, RunState
+from berylspindle_model.events import EventKind
 from berylspindle_model.messages import AttemptReply
 from berylspindle_model.operator_protocol import ServerPhase, ServerReport
 from berylspindle_telemetry import metric_names as names
+from berylspindle_telemetry.supervisor import keep_running
 
 # Interval for checking a blocked queue when no other event triggers a dispatch, such as a dispatch
 # right that is confirmed again or the end of a retry delay set by the server.
@@ -73,7 +75,9 @@
         self._refuse_with: ErrorKind | None = None
         self._draining = False
         self._recheck: asyncio.TimerHandle | None = None
-        self._reporter = asyncio.get_running_loop().create_task(self._read_reports())
+        self._reporter = asyncio.get_running_loop().create_task(
+            keep_running(self._read_reports, self._on_report_failure)
+        )
         self._idle = asyncio.Event()
         self._idle.set()
         self._meters: Final = ServerMeters(server, context.metrics, context.timeline)
@@ -389,6 +393,10 @@
             )
         )
 
+    def _on_report_failure(self, error: Exception) -> None:
+        detail = f"reports of {self._server.id}: {error!r}"
+        self._context.timeline.record(EventKind.INTERNAL_FAULT, detail=detail)
+
     async def _read_reports(self) -> None:
         while True:
             # Read the first report at once: without one, a new owner would raise the limit of a
--- a/tests/dataplane/test_server_worker.py
+++ b/tests/dataplane/test_server_worker.py
@@ -17,11 +17,13 @@
 from berylspindle_decisions.fair_queue import FairQueueOptions
 from berylspindle_decisions.ownership import DispatchRights, RightLevel
 from berylspindle_decisions.quarantine import RunMode
+from berylspindle_model.backend_protocol import BackendState
 from berylspindle_model.configuration import Server
 from berylspindle_model.errors import ErrorKind, RunState
 from berylspindle_model.messages import Attempt, AttemptReply
 from berylspindle_model.snapshot import Snapshot
 from berylspindle_telemetry.metrics import Metrics
+from berylspindle_telemetry.supervisor import RESTART_MIN_S
 from berylspindle_telemetry.timeline import Timeline
 
 SERVER = Server(
@@ -45,6 +47,7 @@
         self.started: list[str] = []
         self.cancelled: list[str] = []
         self.peak = 0
+        self.reports: list[BackendReport | Exception] = []
 
     async def run(self, attempt: Attempt, *, deadline_ms: int) -> AttemptReply:
         future: asyncio.Future[AttemptReply] = asyncio.get_running_loop().create_future()
@@ -60,7 +63,10 @@
             del self.running[attempt.id]
 
     async def report(self) -> BackendReport | None:
-        return None
+        report = self.reports.pop(0) if self.reports else None
+        if isinstance(report, Exception):
+            raise report
+        return report
 
     async def close(self) -> None:
         pass
@@ -251,6 +257,18 @@
     assert len(harness.backend.started) == 3
 
 
+async def test_draining_is_noticed_after_a_report_that_raises_an_unexpected_error(
+    make: MakeHarness,
+) -> None:
+    """Guard against a server that goes on getting work while it leaves, as nobody reads reports."""
+    harness = make()
+    harness.backend.reports = [RuntimeError("x"), BackendReport(state=BackendState.DRAINING)]
+    await asyncio.sleep(2 * RESTART_MIN_S)
+    harness.submit("late")
+    await run_loop()
+    assert harness.kinds() == {"late": ErrorKind.SERVER_LEAVING}
+
+
 async def test_a_draining_server_gets_no_new_attempts(make: MakeHarness) -> None:
     """Guards against new attempts at a server that is about to stop.
 
