End a quarantine at one VM after the other, and lengthen the next one more

Cause: all VMs ended a quarantine at the same time, so that the run that followed and its caller's retry a few milliseconds later, at another VM, crashed a replica each; and each quarantine was only twice as long as the one before.

Change: each VM draws once when within a minute it ends quarantines; the first one to run the request stores a crash, or a success, before most others would run it. Each further quarantine is eight times as long. The options of the other data plane are unchanged.

--- a/libs/decisions/berylspindle_decisions/quarantine.py
+++ b/libs/decisions/berylspindle_decisions/quarantine.py
@@ -35,7 +35,9 @@
 `later_weight`). Another crash of a server that has crashed before may be its own doing
 (`same_server_weight`). Crashes under a request that its VM did not know as a suspect are one event
 for each VM, and the heaviest of these events does not count. The first quarantine lasts `base_s`,
-and each further one twice as long; after one, a single crash leads to the next. A success clears a
+and each further one `growth` times as long; after one, a single crash leads to the next. VMs end a
+quarantine one after the other, within `end_spread_s`: the first one to run the request again stores
+its crash or success before a retry reaches another VM that would run it too. A success clears a
 suspect, since a request that crashes each server that runs it never succeeds. First-seen
 fingerprints run as canaries only during an alert of 30 s. If they always did, most searches would
 take another round trip; if they never did, the next bad request would crash a replica of each shard
@@ -54,8 +56,8 @@
 from berylspindle_model.errors import ErrorKind, Refusal, RunState
 
 QUARANTINE_WEIGHT: Final = 0.5
-MAX_DOUBLINGS: Final = 16
-"""Doublings after which each quarantine has its longest duration."""
+MAX_GROWTHS: Final = 16
+"""Quarantines after which each further one has the longest duration."""
 
 # Assumed age of an attempt if not known; the strikes of one scatter-gather come closer together.
 UNKNOWN_ELAPSED_MS: Final = 1000.0
@@ -94,7 +96,9 @@
         first_seen: when first-seen fingerprints run as canaries.
         suspect_s: seconds until a suspicion expires.
         base_s: seconds of the first quarantine.
+        growth: factor from one quarantine to the next.
         max_s: seconds of the longest quarantine.
+        end_spread_s: seconds within which all VMs end a quarantine.
         alert_s: seconds of alert after a strike.
         canary_s: seconds after which a canary without an outcome no longer blocks the next.
         max_known_good: number of fingerprints kept as known good.
@@ -108,7 +112,9 @@
     first_seen: FirstSeenPolicy = FirstSeenPolicy.ALERT
     suspect_s: float = 300.0
     base_s: float = 60.0
+    growth: float = 2.0
     max_s: float = 3600.0
+    end_spread_s: float = 0.0
     alert_s: float = 30.0
     canary_s: float = 2.0
     max_known_good: int = 10_000
@@ -214,10 +220,14 @@
 
 
 class Quarantine:
-    """The suspect, quarantined and known good fingerprints of one VM."""
+    """The suspect, quarantined and known good fingerprints of one VM.
 
-    def __init__(self, options: QuarantineOptions | None = None) -> None:
+    `dither` is a random number in [0, 1), drawn once by each VM: its place in `end_spread_s`.
+    """
+
+    def __init__(self, options: QuarantineOptions | None = None, *, dither: float = 0.0) -> None:
         self._options = options or QuarantineOptions()
+        self._end_delay_s = dither * self._options.end_spread_s
         self._records: OrderedDict[str, _Record] = OrderedDict()
         self._known_good: OrderedDict[str, None] = OrderedDict()
         self._alert_until = float("-inf")
@@ -443,8 +453,8 @@
             or record.weight < QUARANTINE_WEIGHT - _TOLERANCE
         ):
             return
-        doublings = min(record.times, MAX_DOUBLINGS)
-        seconds = min(self._options.base_s * 2**doublings, self._options.max_s)
+        factor = self._options.growth ** min(record.times, MAX_GROWTHS)
+        seconds = min(self._options.base_s * factor, self._options.max_s)
         record.level = QuarantineLevel.QUARANTINED
         record.times += 1
         record.until = now + seconds
@@ -454,10 +464,13 @@
         if record is None or now < record.until:
             return record
         if record.level is QuarantineLevel.QUARANTINED:
+            end = record.until + self._end_delay_s
+            if now < end:
+                return record
             # The quarantine has expired; one canary shows whether the request still crashes.
             record.level = QuarantineLevel.SUSPECT
             record.generation += 1
-            record.known_since = record.until
+            record.known_since = end
             record.crashes.clear()
             record.local_event = ""
             record.until = now + self._options.suspect_s
--- a/libs/forwarding/berylspindle_forwarding/crash_watch.py
+++ b/libs/forwarding/berylspindle_forwarding/crash_watch.py
@@ -48,8 +48,13 @@
 """Time in seconds for which a request that crashed a replica is run on one shard first."""
 
 FIRST_QUARANTINE_S: Final = 120.0
-"""Duration in seconds of the first quarantine. The run after it crashes a replica at each of the
-VMs that the caller reaches before they know."""
+QUARANTINE_GROWTH: Final = 8.0
+"""Duration in seconds of the first quarantine, and the factor to each further one. The run after a
+quarantine crashes another replica, and few such runs may reach replicas in all."""
+
+QUARANTINE_END_SPREAD_S: Final = 60.0
+"""Seconds within which VMs end a quarantine one after the other; a crash after it is known at all
+VMs within two seconds."""
 
 FIRST_CRASH_WEIGHT: Final = 0.1
 LATER_CRASH_WEIGHT: Final = 0.3
@@ -82,21 +87,24 @@
     return xxhash.xxh3_64_hexdigest(identity)
 
 
-def make_quarantine() -> Quarantine:
+def make_quarantine(*, dither: float) -> Quarantine:
     """Return a quarantine for replicas that all VMs send to.
 
     All replicas of a service may have crashed under a request, so a further crash of one of them
-    counts as much as that of another replica.
+    counts as much as that of another replica. `dither` is a random number in [0, 1).
     """
     return Quarantine(
         QuarantineOptions(
             first_seen=FirstSeenPolicy.NEVER,
             suspect_s=SUSPECT_S,
             base_s=FIRST_QUARANTINE_S,
+            growth=QUARANTINE_GROWTH,
+            end_spread_s=QUARANTINE_END_SPREAD_S,
             first_weight=FIRST_CRASH_WEIGHT,
             later_weight=LATER_CRASH_WEIGHT,
             same_server_weight=1.0,
-        )
+        ),
+        dither=dither,
     )
 
 
--- a/tests/decisions/test_load_quarantine.py
+++ b/tests/decisions/test_load_quarantine.py
@@ -223,6 +223,32 @@
         assert not model.sound_quarantined, f"seed {seed}"
 
 
+@pytest.mark.parametrize("replicas", [1, 2, 3])
+def test_few_runs_crash_replicas_after_the_ends_of_quarantines(replicas: int) -> None:
+    """Guard against a retry that crashes one more replica at another VM after each quarantine."""
+    for seed in range(10):
+        model = CrashModel(replicas=replicas, attempts=2, seed=seed)
+        model.play(400.0)
+        assert model.late_retries <= 3, f"seed {seed}"
+        assert not model.sound_quarantined, f"seed {seed}"
+
+
+def test_vms_end_a_quarantine_one_after_the_other() -> None:
+    options = attrs.evolve(SHARED, end_spread_s=60.0)
+    vms = [Quarantine(options, dither=dither) for dither in (0.0, 0.5)]
+    for start in (1, 2, 3):
+        vms[0].on_connection_lost(start * 1.0, BAD, "s0", start=start, elapsed_ms=5)
+    vms[1].merge(vms[0].export(3.0), 3.0)
+    refusal(vms[1].decide(3.0, BAD))
+    assert vms[0].decide(64.0, BAD) is RunMode.CANARY
+    refusal(vms[1].decide(64.0, BAD))
+    assert vms[1].decide(94.0, BAD) is RunMode.CANARY
+    # The crash at the first VM to run it again is known before the second one ends its quarantine.
+    vms[0].on_connection_lost(64.1, BAD, "s0", start=4, elapsed_ms=5)
+    vms[1].merge(vms[0].export(64.2), 94.1)
+    refusal(vms[1].decide(94.2, BAD))
+
+
 def test_number_of_quarantines_in_a_record_is_bounded() -> None:
     """Guard against a record of another writer that ends the task which follows the store."""
     quarantine = quarantine_after_strikes()
