--- a/libs/decisions/berylspindle_decisions/loss_reports.py
+++ b/libs/decisions/berylspindle_decisions/loss_reports.py
@@ -46,8 +46,8 @@
         for replica, age_ms in report.items():
             lost_at = now - max(0, age_ms) / 1000
             known = self._lost_at.get(replica)
-            oldest = now - LOSS_TTL_S if known is None else known + SAME_LOSS_S
-            if lost_at > oldest:
+            counts_from = now - LOSS_TTL_S if known is None else known + SAME_LOSS_S
+            if lost_at > counts_from:
                 self._lost_at[replica] = lost_at
 
     def report(self, now: float) -> dict[str, int]:
