--- a/libs/decisions/berylspindle_decisions/quarantine.py
+++ b/libs/decisions/berylspindle_decisions/quarantine.py
@@ -222,12 +222,12 @@
 class Quarantine:
     """The suspect, quarantined and known good fingerprints of one VM.
 
-    `dither` is a random number in [0, 1), drawn once by each VM: its place in `end_spread_s`.
+    `end_place` is the place of this VM in `end_spread_s`, from 0 to 1.
     """
 
-    def __init__(self, options: QuarantineOptions | None = None, *, dither: float = 0.0) -> None:
+    def __init__(self, options: QuarantineOptions | None = None, *, end_place: float = 0.0) -> None:
         self._options = options or QuarantineOptions()
-        self._end_delay_s = dither * self._options.end_spread_s
+        self._end_delay_s = end_place * self._options.end_spread_s
         self._records: OrderedDict[str, _Record] = OrderedDict()
         self._known_good: OrderedDict[str, None] = OrderedDict()
         self._alert_until = float("-inf")
--- a/libs/forwarding/berylspindle_forwarding/crash_watch.py
+++ b/libs/forwarding/berylspindle_forwarding/crash_watch.py
@@ -87,11 +87,12 @@
     return xxhash.xxh3_64_hexdigest(identity)
 
 
-def make_quarantine(*, dither: float) -> Quarantine:
+def make_quarantine(vm: str) -> Quarantine:
     """Return a quarantine for replicas that all VMs send to.
 
     All replicas of a service may have crashed under a request, so a further crash of one of them
-    counts as much as that of another replica. `dither` is a random number in [0, 1).
+    counts as much as that of another replica. The name of this VM gives its place among those that
+    end a quarantine.
     """
     return Quarantine(
         QuarantineOptions(
@@ -104,7 +105,7 @@
             later_weight=LATER_CRASH_WEIGHT,
             same_server_weight=1.0,
         ),
-        dither=dither,
+        end_place=xxhash.xxh3_64_intdigest(vm.encode()) / 2**64,
     )
 
 
--- a/libs/forwarding/berylspindle_forwarding/forwarder.py
+++ b/libs/forwarding/berylspindle_forwarding/forwarder.py
@@ -109,7 +109,7 @@
         )
         self.registry: Final = make_registry(options, self.vms, self._reach, self.rollouts, metrics)
         self._crashes: Final = CrashWatch(
-            make_quarantine(dither=random.random()),
+            make_quarantine(options.vm),
             store,
             key_prefix=options.suspects_prefix,
             now=loop.time,
--- a/tests/decisions/crash_model.py
+++ b/tests/decisions/crash_model.py
@@ -66,7 +66,7 @@
         self._rng = random.Random(seed)
         self._attempts = attempts
         self._replicas = [Replica(f"i-{number}") for number in range(replicas)]
-        self.vms = [make_quarantine(dither=self._rng.random()) for _ in range(VMS)]
+        self.vms = [make_quarantine(f"vm-{number}") for number in range(VMS)]
         self._stored: dict[str, SuspectRecord] = {}
         self._due: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
--- a/tests/decisions/test_load_quarantine.py
+++ b/tests/decisions/test_load_quarantine.py
@@ -235,7 +235,7 @@
 
 def test_vms_end_a_quarantine_one_after_the_other() -> None:
     options = attrs.evolve(SHARED, end_spread_s=60.0)
-    vms = [Quarantine(options, dither=dither) for dither in (0.0, 0.5)]
+    vms = [Quarantine(options, end_place=place) for place in (0.0, 0.5)]
     for start in (1, 2, 3):
         vms[0].on_connection_lost(start * 1.0, BAD, "s0", start=start, elapsed_ms=5)
     vms[1].merge(vms[0].export(3.0), 3.0)
